--- /dev/null
+++ b/config/rules.h
@@ -0,0 +1,85 @@
+#ifndef CONFIG_RULES_H_
+#define CONFIG_RULES_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/millis.h"
+#include "core/names.h"
+
+namespace peridotarch {
+
+/// Which error a service would rather avoid when it judges its instances.
+enum class eject_weight { kDetectionTime, kFalseEjections };
+
+template <>
+struct names_of<eject_weight> {
+  static constexpr std::array<std::string_view, 2> kTable = {"detection-time",
+                                                             "false-ejections"};
+};
+
+/// `service NAME floor SLOTS slots SLOTS/instance weigh WEIGHT`
+struct service_rule {
+  std::string name;
+  int floor = 0;  ///< Healthy capacity that ejection must leave, in slots.
+  int slots_per_instance = 1;  ///< Requests that one instance runs at a time.
+  eject_weight weigh = eject_weight::kFalseEjections;
+  std::string asked_by;
+  int line = 0;
+};
+
+/// `route METHOD PATTERN -> SERVICE idempotent|non-idempotent timeout T
+/// [retries N]`
+struct route_rule {
+  std::string method;   ///< An HTTP method, or "*".
+  std::string pattern;  ///< Segments; `*` matches one, a final `**` the rest.
+  std::string service;
+  bool idempotent = false;
+  millis timeout;
+  int retries = 0;
+  std::string asked_by;
+  int line = 0;
+};
+
+/// `limit team NAME rate N/s burst N`
+struct limit_rule {
+  std::string team;
+  int rate = 0;   ///< Requests per second over the whole fleet.
+  int burst = 0;  ///< Requests at once.
+  std::string asked_by;
+  int line = 0;
+};
+
+/// `drain SERVICE INSTANCE` or `pin SERVICE INSTANCE`
+struct instance_rule {
+  enum class action { kDrain, kPin };
+  action act = action::kDrain;
+  std::string service;
+  std::string instance;  ///< The id of the instance in the host list.
+  std::string asked_by;
+  int line = 0;
+};
+
+/// `isolation serve DURATION`: how long a node that hears neither log nor peers
+/// goes on serving.
+struct isolation_rule {
+  millis serve = millis(600'000);
+  std::string asked_by;
+  int line = 0;
+};
+
+/// All rules of one file, in file order within each kind.
+struct rules {
+  std::vector<service_rule> services;
+  std::vector<route_rule> routes;
+  std::vector<limit_rule> limits;
+  std::vector<instance_rule> instances;
+  isolation_rule isolation;
+};
+
+}  // namespace peridotarch
+
+#endif  // CONFIG_RULES_H_
--- /dev/null
+++ b/core/millis.h
@@ -0,0 +1,57 @@
+#ifndef CORE_MILLIS_H_
+#define CORE_MILLIS_H_
+
+#include <compare>
+#include <concepts>
+#include <cstdint>
+
+namespace peridotarch {
+
+/// A time in milliseconds: an instant of some clock, or a span between two
+/// instants.
+class millis {
+ public:
+  constexpr millis() = default;
+  constexpr explicit millis(int64_t count) : count_(count) {}
+
+  /// Returns the number of milliseconds.
+  [[nodiscard]] constexpr int64_t count() const { return count_; }
+
+  constexpr auto operator<=>(const millis&) const = default;
+  constexpr millis operator+(millis other) const {
+    return millis(count_ + other.count_);
+  }
+  constexpr millis operator-(millis other) const {
+    return millis(count_ - other.count_);
+  }
+  constexpr millis operator*(int64_t factor) const {
+    return millis(count_ * factor);
+  }
+  constexpr millis operator/(int64_t divisor) const {
+    return millis(count_ / divisor);
+  }
+  constexpr millis& operator+=(millis other) { return *this = *this + other; }
+
+ private:
+  int64_t count_ = 0;
+};
+
+/// A source of instants. Decisions never read one: the caller passes `now`.
+template <typename T>
+concept clock_source = requires(T clock) {
+  { clock.Now() } -> std::same_as<millis>;
+};
+
+/// Monotonic clock of this process; its origin is arbitrary.
+struct steady_clock {
+  static millis Now();
+};
+
+/// Wall clock, in milliseconds since the Unix epoch.
+struct wall_clock {
+  static millis Now();
+};
+
+}  // namespace peridotarch
+
+#endif  // CORE_MILLIS_H_
--- /dev/null
+++ b/proxy/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/tests/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
