Reasons, verdict of an attempt, the owner's scheduler and the shard map

Cause: the shell needs the decisions on the path of a request: what a caller is told, whether an attempt ran, which slot it gets and who owns the shard.

Change: reason.h and attempt.h are tables tested over all 630 combinations; request_verdict.h turns an attempt's verdict into the request's (a submission without the key's claim is never said to be not_run); shard.h schedules exact slots with a short queue, shard_map.h places shards and owners.

No functional change: nothing calls it yet.

--- /dev/null
+++ b/request/attempt.h
@@ -0,0 +1,77 @@
+#ifndef REQUEST_ATTEMPT_H_
+#define REQUEST_ATTEMPT_H_
+
+#include <array>
+#include <string_view>
+
+#include "core/names.h"
+#include "core/verdict.h"
+#include "request/reason.h"
+
+namespace peridotarch {
+
+/// How much of a request was handed to the connection. A byte that may have
+/// left counts as written.
+enum class written_part { kNothing, kPart, kAll };
+
+/// How much of the answer was read.
+enum class read_part { kNothing, kPart, kWhole };
+
+/// How an attempt ended.
+enum class attempt_ending {
+  kAnswered,   ///< An answer was read and parsed to its end.
+  kRefused,    ///< The connection was never established.
+  kReset,      ///< The connection broke.
+  kTimeout,    ///< The deadline passed.
+  kCancelled,  ///< The caller left or the owner gave the attempt up.
+  kClosed,     ///< The peer closed the connection in order.
+  kMalformed,  ///< What was read is not a valid answer.
+};
+
+/// What the upstream said to a cancellation.
+enum class cancel_answer { kNone, kNotStarted, kRunning, kFinished, kUnknown };
+
+template <>
+struct names_of<written_part> {
+  static constexpr std::array<std::string_view, 3> kTable = {"nothing", "part",
+                                                             "all"};
+};
+
+template <>
+struct names_of<read_part> {
+  static constexpr std::array<std::string_view, 3> kTable = {"nothing", "part",
+                                                             "whole"};
+};
+
+template <>
+struct names_of<attempt_ending> {
+  static constexpr std::array<std::string_view, 7> kTable = {
+      "answered",  "refused", "reset",    "timeout",
+      "cancelled", "closed",  "malformed"};
+};
+
+template <>
+struct names_of<cancel_answer> {
+  static constexpr std::array<std::string_view, 5> kTable = {
+      "none", "not_started", "running", "finished", "unknown"};
+};
+
+/// How one attempt at an instance ended.
+struct attempt_end {
+  written_part written = written_part::kNothing;
+  read_part read = read_part::kNothing;
+  attempt_ending ended = attempt_ending::kReset;
+  cancel_answer cancel = cancel_answer::kNone;
+  bool shed = false;  ///< The answer's head says that it did not start.
+};
+
+/// Returns whether this attempt ran.
+verdict JudgeAttempt(const attempt_end& end);
+
+/// Returns why an attempt that ended like this gives no whole answer, or
+/// kAnswered.
+reason ReasonOf(const attempt_end& end);
+
+}  // namespace peridotarch
+
+#endif  // REQUEST_ATTEMPT_H_
--- /dev/null
+++ b/request/request_verdict.cc
@@ -0,0 +1,26 @@
+#include "request/request_verdict.h"
+
+namespace peridotarch {
+
+// "Not run" speaks of the request. A node that declines a repeat has not run
+// it, but the first submission may be running elsewhere, so without the claim
+// the strongest true answer is may_have_run.
+verdict RequestVerdict(verdict attempts, key_knowledge key) {
+  if (attempts == verdict::kNotRun && key == key_knowledge::kUnknown) {
+    return verdict::kMayHaveRun;
+  }
+  return attempts;
+}
+
+// A whole answer settles a request even when an earlier attempt is in doubt.
+verdict Combine(verdict first, verdict second) {
+  if (first == verdict::kRan || second == verdict::kRan) {
+    return verdict::kRan;
+  }
+  if (first == verdict::kMayHaveRun || second == verdict::kMayHaveRun) {
+    return verdict::kMayHaveRun;
+  }
+  return verdict::kNotRun;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/request/shard.h
@@ -0,0 +1,124 @@
+#ifndef REQUEST_SHARD_H_
+#define REQUEST_SHARD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/millis.h"
+#include "request/call_info.h"
+#include "request/instance_view.h"
+#include "request/reason.h"
+#include "request/slot_table.h"
+
+namespace peridotarch {
+
+/// Names one attempt at the owner; unique while the shard knows of it.
+using ticket = uint64_t;
+
+/// What the shell does for one attempt.
+struct shard_action {
+  enum class action { kGrant, kRefuse };
+  action act = action::kGrant;
+  ticket id = 0;
+  std::string instance;            ///< Of a grant.
+  reason why = reason::kAnswered;  ///< Of a refusal.
+  millis retry_after;              ///< Of a refusal.
+};
+
+/// Limits of a shard's queue.
+struct queue_limits {
+  int per_slot = 2;                     ///< Entries for each usable slot.
+  millis standing_after = millis(100);  ///< Without an empty queue: overload.
+  millis min_delay = millis(5);         ///< Queue delay allowed in overload.
+};
+
+/// The scheduler of one shard of one service: its owner's exact slot counts and
+/// short queue. Not thread-safe; the shell runs its calls one after another and
+/// calls Tick after each.
+class shard {
+ public:
+  explicit shard(queue_limits queue = {}, slot_limits slots = {})
+      : limits_(queue), slots_(slots) {}
+
+  /// Replaces what is known of the instances; work in flight stays counted.
+  void SetInstances(std::span<const instance_view> instances, millis now);
+
+  /// Asks for a slot; Tick answers it.
+  void Admit(ticket id, const call_info& call, millis now);
+
+  /// The attempt ended: its slot is free.
+  void Release(ticket id, millis now);
+
+  /// The attempt ended here, yet may still run at the instance: its slot is
+  /// free from `until` on.
+  void ReleaseAt(ticket id, millis until);
+
+  /// The caller left while queued.
+  void Abandon(ticket id, millis now);
+
+  /// The instance answered that it has no slot: others send to it as well.
+  void NoteShed(const std::string& instance, millis now);
+
+  /// Returns what is to be done now.
+  std::vector<shard_action> Tick(millis now);
+
+  /// Returns when Tick is due without another call; the far future when
+  /// nothing waits.
+  [[nodiscard]] millis NextTick(millis now) const;
+
+  /// Returns the slots in use or waited for as a share of the usable ones.
+  [[nodiscard]] double Load(millis now) const;
+
+  [[nodiscard]] size_t queued() const { return queue_.size(); }
+  [[nodiscard]] size_t in_flight() const { return granted_.size(); }
+
+  /// Returns the attempts in flight at an instance.
+  [[nodiscard]] int Busy(const std::string& instance) const {
+    return slots_.Busy(instance);
+  }
+
+ private:
+  /// Earliest deadline first, then the order of arrival.
+  using queue_key = std::pair<millis, uint64_t>;
+  struct waiting_call {
+    ticket id = 0;
+    call_info call;
+    millis since;
+  };
+  struct granted_call {
+    size_t instance = 0;
+    millis since;
+    millis free_at;  ///< The far future unless ReleaseAt was called.
+  };
+
+  [[nodiscard]] millis ExpectedWait(millis deadline, int slots) const;
+  [[nodiscard]] millis AllowedDelay(millis now) const;
+  [[nodiscard]] reason WhyRefuse(const waiting_call& waiting, millis now) const;
+  void Refuse(ticket id, reason why, millis retry_after);
+  void FreeDetached(millis now);
+  void GrantQueued(millis now);
+  void Grant(const waiting_call& waiting, size_t instance, millis now);
+  void RefuseLate(millis now);
+  void NoteEmpty(millis now);
+
+  const queue_limits limits_;
+  slot_table slots_;
+  std::map<queue_key, waiting_call> queue_;
+  std::unordered_map<ticket, queue_key> queued_;
+  std::unordered_map<ticket, granted_call> granted_;
+  std::vector<shard_action> actions_;
+  uint64_t arrivals_ = 0;
+  size_t detached_ = 0;
+  double mean_service_ms_ = 0;  ///< Moving mean of the time a slot is held.
+  millis last_empty_;           ///< When the queue was last empty.
+};
+
+}  // namespace peridotarch
+
+#endif  // REQUEST_SHARD_H_
--- /dev/null
+++ b/request/slot_table.cc
@@ -0,0 +1,188 @@
+#include "request/slot_table.h"
+
+#include <algorithm>
+
+#include "core/invariant.h"
+
+namespace peridotarch {
+
+namespace {
+
+bool Regular(instance_state state) {
+  return state == instance_state::kOpen || state == instance_state::kCold ||
+         state == instance_state::kSuspect;
+}
+
+// A trial that is due goes first, else probation would never end.
+int Rank(instance_state state) {
+  if (state == instance_state::kProbation) {
+    return 0;
+  }
+  return state == instance_state::kSuspect ? 2 : 1;
+}
+
+}  // namespace
+
+// An instance that left the list keeps its count until its work has ended, so
+// that it is not overrun when the lagging list brings it back.
+void slot_table::SetInstances(std::span<const instance_view> instances) {
+  for (instance_slots& known : instances_) {
+    known.listed = false;
+  }
+  for (const instance_view& view : instances) {
+    instance_slots& known = FindOrAdd(view.id);
+    known.view = view;
+    known.listed = true;
+  }
+}
+
+// The place of an instance that is gone and idle is used again, which bounds
+// the table.
+slot_table::instance_slots& slot_table::FindOrAdd(const std::string& id) {
+  instance_slots* vacant = nullptr;
+  for (instance_slots& known : instances_) {
+    if (known.view.id == id) {
+      return known;
+    }
+    if (!known.listed && known.busy == 0) {
+      vacant = &known;
+    }
+  }
+  if (vacant == nullptr) {
+    return instances_.emplace_back();
+  }
+  *vacant = {};
+  return *vacant;
+}
+
+// Starts at a place that moves on, so that equals take turns.
+std::optional<size_t> slot_table::Choose(const call_info& call,
+                                         millis now) const {
+  std::optional<size_t> best;
+  const size_t count = instances_.size();
+  for (size_t i = 0; i < count; ++i) {
+    const size_t at = (taken_ + i) % count;
+    if (!CanTake(instances_[at], call, now)) {
+      continue;
+    }
+    if (!best || Before(instances_[at], instances_[*best], call, now)) {
+      best = at;
+    }
+  }
+  return best;
+}
+
+void slot_table::Take(size_t at, millis now) {
+  instance_slots& instance = instances_[at];
+  Check(instance.view.state != instance_state::kLeaving, invariant::kLeaving);
+  ++instance.busy;
+  Check(instance.busy <= instance.view.slots, invariant::kSlots);
+  if (instance.view.state == instance_state::kProbation) {
+    instance.next_trial = now + limits_.probation_interval;
+  }
+  ++taken_;
+}
+
+void slot_table::Free(size_t at) {
+  --instances_[at].busy;
+  Check(instances_[at].busy >= 0, invariant::kSlots);
+}
+
+void slot_table::NoteShed(const std::string& instance, millis now) {
+  for (instance_slots& known : instances_) {
+    if (known.view.id == instance) {
+      known.shed_until = now + limits_.shed_backoff;
+    }
+  }
+}
+
+bool slot_table::AnyFree(millis now) const {
+  return std::any_of(instances_.begin(), instances_.end(),
+                     [&](const auto& i) { return HasRoom(i, now); });
+}
+
+bool slot_table::AnyRegular() const {
+  return std::any_of(instances_.begin(), instances_.end(), [](const auto& i) {
+    return i.listed && Regular(i.view.state);
+  });
+}
+
+int slot_table::TotalSlots(millis now) const {
+  int total = 0;
+  for (const instance_slots& instance : instances_) {
+    total += UsableSlots(instance, now);
+  }
+  return total;
+}
+
+int slot_table::Busy(const std::string& instance) const {
+  for (const instance_slots& known : instances_) {
+    if (known.view.id == instance) {
+      return known.busy;
+    }
+  }
+  return 0;
+}
+
+// A cold instance opens with one slot and gets the others in even steps.
+int slot_table::UsableSlots(const instance_slots& instance, millis now) const {
+  if (!instance.listed || !Regular(instance.view.state)) {
+    return 0;
+  }
+  const int slots = instance.view.slots;
+  const int64_t age = (now - instance.view.since).count();
+  const int64_t ramp = limits_.cold_ramp.count();
+  if (instance.view.state != instance_state::kCold || age >= ramp) {
+    return slots;
+  }
+  const int64_t opened = (slots - 1) * std::max<int64_t>(age, 0) / ramp;
+  return 1 + static_cast<int>(opened);
+}
+
+bool slot_table::HasRoom(const instance_slots& instance, millis now) const {
+  if (!instance.listed || now < instance.shed_until) {
+    return false;
+  }
+  if (instance.view.state == instance_state::kProbation) {
+    return instance.busy == 0 && now >= instance.next_trial;
+  }
+  return instance.busy < UsableSlots(instance, now);
+}
+
+// The instance that failed an earlier attempt is passed over as long as there
+// is another.
+bool slot_table::CanTake(const instance_slots& instance, const call_info& call,
+                         millis now) const {
+  if (!HasRoom(instance, now)) {
+    return false;
+  }
+  if (instance.view.state == instance_state::kProbation && !call.idempotent) {
+    return false;
+  }
+  return call.exclude.empty() || instance.view.id != call.exclude ||
+         !HasOther(call.exclude);
+}
+
+bool slot_table::HasOther(const std::string& excluded) const {
+  return std::any_of(instances_.begin(), instances_.end(), [&](const auto& i) {
+    return i.listed && Regular(i.view.state) && i.view.id != excluded;
+  });
+}
+
+// Suspects go last; then the share of slots in use, then the caller's zone.
+bool slot_table::Before(const instance_slots& left, const instance_slots& right,
+                        const call_info& call, millis now) const {
+  const int left_rank = Rank(left.view.state);
+  const int right_rank = Rank(right.view.state);
+  if (left_rank != right_rank) {
+    return left_rank < right_rank;
+  }
+  const int left_share = left.busy * std::max(UsableSlots(right, now), 1);
+  const int right_share = right.busy * std::max(UsableSlots(left, now), 1);
+  if (left_share != right_share) {
+    return left_share < right_share;
+  }
+  return left.view.zone == call.zone && right.view.zone != call.zone;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/tests/request/attempt_test.cc
@@ -0,0 +1,108 @@
+#include "request/attempt.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+#include "request/request_verdict.h"
+
+namespace peridotarch {
+namespace {
+
+// Calls `visit` with every combination of an attempt's fields.
+template <typename Visit>
+void ForEachEnd(Visit visit) {
+  for (size_t w = 0; w < names_of<written_part>::kTable.size(); ++w) {
+    for (size_t r = 0; r < names_of<read_part>::kTable.size(); ++r) {
+      for (size_t e = 0; e < names_of<attempt_ending>::kTable.size(); ++e) {
+        for (size_t c = 0; c < names_of<cancel_answer>::kTable.size(); ++c) {
+          for (const bool shed : {false, true}) {
+            visit(attempt_end{static_cast<written_part>(w),
+                              static_cast<read_part>(r),
+                              static_cast<attempt_ending>(e),
+                              static_cast<cancel_answer>(c), shed});
+          }
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("an attempt is not run only by proof") {
+  int checked = 0;
+  ForEachEnd([&](const attempt_end& end) {
+    ++checked;
+    const bool unwritten = end.written == written_part::kNothing;
+    const bool answered =
+        end.read == read_part::kWhole && end.ended == attempt_ending::kAnswered;
+    const bool withdrawn =
+        !answered && end.cancel == cancel_answer::kNotStarted;
+    const bool not_run = unwritten || (answered && end.shed) || withdrawn;
+    INFO(ToName(end.written)
+         << ' ' << ToName(end.read) << ' ' << ToName(end.ended) << ' '
+         << ToName(end.cancel) << " shed " << end.shed);
+    CHECK((JudgeAttempt(end) == verdict::kNotRun) == not_run);
+    const bool ran = !not_run && answered;
+    CHECK((JudgeAttempt(end) == verdict::kRan) == ran);
+  });
+  CHECK(checked == 3 * 3 * 7 * 5 * 2);
+}
+
+TEST_CASE("a reply never claims more than its attempt proves") {
+  ForEachEnd([&](const attempt_end& end) {
+    INFO(ToName(end.written)
+         << ' ' << ToName(end.read) << ' ' << ToName(end.ended));
+    if (ReasonOf(end) == reason::kAnswered) {
+      CHECK(end.read == read_part::kWhole);
+    }
+    if (JudgeAttempt(end) != verdict::kNotRun) {
+      CHECK(ReplyFor(ReasonOf(end)).said != verdict::kNotRun);
+    }
+  });
+}
+
+TEST_CASE("every reason has a name, a status and a verdict") {
+  std::set<std::string_view> names;
+  for (const std::string_view name : names_of<reason>::kTable) {
+    const reason why = *FromName<reason>(name);
+    names.insert(ToName(why));
+    const reply_rule rule = ReplyFor(why);
+    INFO(name);
+    if (why == reason::kAnswered) {
+      continue;
+    }
+    CHECK(rule.status >= 400);
+    CHECK(rule.status < 600);
+    // Only these two statuses tell a caller to come again later, besides a key
+    // whose attempt is still in flight.
+    const bool later = rule.status == 429 || rule.status == 503;
+    if (later) {
+      CHECK(rule.retry_after);
+      CHECK(rule.said == verdict::kNotRun);
+    }
+  }
+  CHECK(names.size() == names_of<reason>::kTable.size());
+}
+
+TEST_CASE("a submission without the claim is never said to be not run") {
+  CHECK(RequestVerdict(verdict::kNotRun, key_knowledge::kUnknown) ==
+        verdict::kMayHaveRun);
+  CHECK(RequestVerdict(verdict::kNotRun, key_knowledge::kOurs) ==
+        verdict::kNotRun);
+  CHECK(RequestVerdict(verdict::kNotRun, key_knowledge::kNoKey) ==
+        verdict::kNotRun);
+  CHECK(RequestVerdict(verdict::kRan, key_knowledge::kUnknown) ==
+        verdict::kRan);
+}
+
+TEST_CASE("attempts combine to the strongest statement that holds") {
+  CHECK(Combine(verdict::kNotRun, verdict::kNotRun) == verdict::kNotRun);
+  CHECK(Combine(verdict::kNotRun, verdict::kMayHaveRun) ==
+        verdict::kMayHaveRun);
+  CHECK(Combine(verdict::kMayHaveRun, verdict::kNotRun) ==
+        verdict::kMayHaveRun);
+  CHECK(Combine(verdict::kMayHaveRun, verdict::kRan) == verdict::kRan);
+}
+
+}  // namespace
+}  // namespace peridotarch
--- /dev/null
+++ b/tests/request/shard_test.cc
@@ -0,0 +1,217 @@
+#include "request/shard.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "core/invariant.h"
+#include "core/random.h"
+
+namespace peridotarch {
+namespace {
+
+using action = shard_action::action;
+
+std::vector<instance_view> Instances(int count, int slots) {
+  std::vector<instance_view> views;
+  for (int i = 0; i < count; ++i) {
+    views.push_back({"i" + std::to_string(i), "z" + std::to_string(i % 3),
+                     slots, instance_state::kOpen, millis()});
+  }
+  return views;
+}
+
+call_info Call(int64_t deadline, const std::string& zone = "z0") {
+  return {millis(deadline), zone, true, ""};
+}
+
+TEST_CASE("grants exactly the slots and queues the rest") {
+  SetBreachesFatal(true);
+  shard owner;
+  owner.SetInstances(Instances(2, 3), millis(0));
+  for (ticket id = 0; id < 8; ++id) {
+    owner.Admit(id, Call(1000), millis(0));
+  }
+  std::map<std::string, int> granted;
+  for (const shard_action& done : owner.Tick(millis(0))) {
+    REQUIRE(done.act == action::kGrant);
+    ++granted[done.instance];
+  }
+  CHECK(granted["i0"] == 3);
+  CHECK(granted["i1"] == 3);
+  CHECK(owner.queued() == 2);
+  owner.Release(0, millis(10));
+  CHECK(owner.Tick(millis(10)).size() == 1);
+}
+
+TEST_CASE("prefers the caller's zone among equals and the least busy") {
+  shard owner;
+  owner.SetInstances(Instances(3, 2), millis(0));
+  owner.Admit(1, Call(1000, "z2"), millis(0));
+  CHECK(owner.Tick(millis(0)).at(0).instance == "i2");
+  owner.Admit(2, Call(1000, "z2"), millis(0));
+  CHECK(owner.Tick(millis(0)).at(0).instance != "i2");
+}
+
+TEST_CASE("a suspect gets work only when the others are full") {
+  shard owner;
+  auto views = Instances(2, 1);
+  views[0].state = instance_state::kSuspect;
+  owner.SetInstances(views, millis(0));
+  owner.Admit(1, Call(1000, "z0"), millis(0));
+  CHECK(owner.Tick(millis(0)).at(0).instance == "i1");
+  owner.Admit(2, Call(1000, "z0"), millis(0));
+  CHECK(owner.Tick(millis(0)).at(0).instance == "i0");
+}
+
+TEST_CASE("leaving and ejected instances get nothing") {
+  shard owner;
+  auto views = Instances(2, 1);
+  views[0].state = instance_state::kLeaving;
+  views[1].state = instance_state::kEjected;
+  owner.SetInstances(views, millis(0));
+  owner.Admit(1, Call(1000), millis(0));
+  const auto done = owner.Tick(millis(0));
+  REQUIRE(done.size() == 1);
+  CHECK(done[0].act == action::kRefuse);
+  CHECK(done[0].why == reason::kNoCapacity);
+}
+
+TEST_CASE("queued calls are refused when the last instance leaves") {
+  shard owner;
+  auto views = Instances(1, 1);
+  owner.SetInstances(views, millis(0));
+  owner.Admit(1, Call(1000), millis(0));
+  owner.Admit(2, Call(1000), millis(0));
+  CHECK(owner.Tick(millis(0)).size() == 1);
+  views[0].state = instance_state::kLeaving;
+  owner.SetInstances(views, millis(1));
+  const auto done = owner.Tick(millis(1));
+  REQUIRE(done.size() == 1);
+  CHECK(done[0].why == reason::kNoCapacity);
+}
+
+TEST_CASE("an instance on probation gets a trickle of idempotent work") {
+  shard owner;
+  auto views = Instances(2, 3);
+  views[0].state = instance_state::kProbation;
+  owner.SetInstances(views, millis(5000));
+  call_info once = Call(9000);
+  once.idempotent = false;
+  owner.Admit(1, once, millis(5000));
+  CHECK(owner.Tick(millis(5000)).at(0).instance == "i1");
+  owner.Admit(2, Call(9000), millis(5000));
+  owner.Admit(3, Call(9000), millis(5000));
+  const auto done = owner.Tick(millis(5000));
+  CHECK(done.at(0).instance == "i0");
+  CHECK(done.at(1).instance == "i1");
+}
+
+TEST_CASE("a cold instance opens slot by slot") {
+  shard owner;
+  auto views = Instances(1, 3);
+  views[0].state = instance_state::kCold;
+  views[0].since = millis(0);
+  owner.SetInstances(views, millis(0));
+  for (ticket id = 0; id < 3; ++id) {
+    owner.Admit(id, Call(100'000), millis(0));
+  }
+  owner.Tick(millis(0));
+  CHECK(owner.Busy("i0") == 1);
+  owner.Tick(millis(50));
+  CHECK(owner.Busy("i0") == 1);
+}
+
+TEST_CASE("a retry avoids the instance that failed it") {
+  shard owner;
+  owner.SetInstances(Instances(2, 1), millis(0));
+  call_info again = Call(1000);
+  again.exclude = "i0";
+  owner.Admit(1, again, millis(0));
+  CHECK(owner.Tick(millis(0)).at(0).instance == "i1");
+  owner.Admit(2, again, millis(0));
+  CHECK(owner.Tick(millis(0)).empty());
+  owner.Release(1, millis(1));
+  CHECK(owner.Tick(millis(1)).at(0).instance == "i1");
+}
+
+TEST_CASE("a slot whose attempt may still run is not granted again") {
+  shard owner;
+  owner.SetInstances(Instances(1, 1), millis(0));
+  owner.Admit(1, Call(1000), millis(0));
+  owner.Tick(millis(0));
+  owner.ReleaseAt(1, millis(50));
+  owner.Admit(2, Call(1000), millis(1));
+  CHECK(owner.Tick(millis(49)).empty());
+  CHECK(owner.Tick(millis(50)).size() == 1);
+}
+
+TEST_CASE("work in flight stays counted while the list forgets an instance") {
+  SetBreachesFatal(true);
+  shard owner;
+  owner.SetInstances(Instances(1, 1), millis(0));
+  owner.Admit(1, Call(1000), millis(0));
+  owner.Tick(millis(0));
+  owner.SetInstances({}, millis(1));
+  owner.SetInstances(Instances(1, 1), millis(2));
+  owner.Admit(2, Call(1000), millis(2));
+  CHECK(owner.Tick(millis(2)).empty());
+  owner.Release(1, millis(3));
+  CHECK(owner.Tick(millis(3)).size() == 1);
+}
+
+// Chaotic calls against a model that counts by itself: slots are never
+// overrun, each ticket is answered once, nobody is forgotten.
+TEST_CASE("random schedules keep slots exact and answer every call once") {
+  SetBreachesFatal(true);
+  const uint64_t seed = GENERATE(1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U);
+  INFO("seed " << seed);
+  random_bits random(seed);
+  shard owner;
+  std::map<ticket, int> answers;
+  std::map<ticket, std::string> running;
+  std::map<std::string, int> busy;
+  ticket next = 0;
+  auto views = Instances(5, 3);
+  millis now{0};
+  for (int step = 0; step < 20'000; ++step) {
+    now += millis(static_cast<int64_t>(random.Below(4)));
+    if (random.Below(50) == 0) {
+      for (instance_view& view : views) {
+        view.state = static_cast<instance_state>(random.Below(6));
+        view.since = now;
+      }
+      const size_t kept = random.Below(views.size() + 1);
+      owner.SetInstances(std::span(views).first(kept), now);
+    }
+    const uint64_t what = random.Below(3);
+    if (what == 0) {
+      const auto left = static_cast<int64_t>(random.Below(200));
+      answers[next] = 0;
+      owner.Admit(next++, Call(now.count() + left), now);
+    }
+    if (what == 1 && !running.empty()) {
+      const auto ended = running.begin();
+      --busy[ended->second];
+      owner.Release(ended->first, now);
+      running.erase(ended);
+    }
+    for (const shard_action& done : owner.Tick(now)) {
+      REQUIRE(++answers[done.id] == 1);
+      if (done.act == action::kGrant) {
+        running[done.id] = done.instance;
+        REQUIRE(++busy[done.instance] <= 3);
+      }
+    }
+  }
+  for (const shard_action& done : owner.Tick(now + millis(1000))) {
+    ++answers[done.id];
+  }
+  for (const auto& [id, count] : answers) {
+    REQUIRE(count == 1);
+  }
+}
+
+}  // namespace
+}  // namespace peridotarch
