--- /dev/null
+++ b/request/claim_table.cc
@@ -0,0 +1,131 @@
+#include "request/claim_table.h"
+
+#include <algorithm>
+
+namespace peridotarch {
+
+namespace {
+
+constexpr int kSweepsPerWindow = 16;
+
+}  // namespace
+
+// A page is contiguous with what was folded before, or a gap is noted. A
+// replica that lags behind our position has nothing to tell.
+void claim_table::Fold(const log_page& page, millis wall) {
+  if (page.next < position_) {
+    return;
+  }
+  const bool gap = ready_ ? page.first > position_ : page.first > 0;
+  if (gap) {
+    NoteGap(page, wall);
+  }
+  ready_ = true;
+  for (const log_record& record : page.records) {
+    if (record.offset < position_) {
+      continue;
+    }
+    position_ = record.offset + 1;
+    log_time_ = std::max(log_time_, record.appended);
+    const auto batch = DecodeClaims(record.data);
+    if (!batch) {
+      ++void_records_;
+      continue;
+    }
+    for (const claim_entry& entry : batch->entries) {
+      Apply(batch->writer, entry, record.appended);
+    }
+  }
+  if (log_time_ >= next_sweep_) {
+    Sweep();
+  }
+}
+
+// Records before the page are lost to us. A key that could have been claimed in
+// them cannot be judged from here; what the fold knows stays true.
+void claim_table::NoteGap(const log_page& page, millis wall) {
+  const millis from = page.records.empty() ? wall + window_.skew
+                                           : page.records.front().appended;
+  covered_from_ = std::max(covered_from_, from);
+  position_ = std::max(position_, page.first);
+}
+
+claim_view claim_table::Find(const key_digest& id) const {
+  const auto found = keys_.find(id);
+  return found == keys_.end() ? claim_view() : found->second.view;
+}
+
+bool claim_table::Released(const key_digest& id, claim_id who) const {
+  const auto found = keys_.find(id);
+  if (found == keys_.end()) {
+    return false;
+  }
+  const auto& released = found->second.released;
+  return std::find(released.begin(), released.end(), who) != released.end();
+}
+
+// A node accepts a key only when its issue time is at most `ahead` before the
+// node's clock, which is off by at most `skew`: the key's first claim got a log
+// time of issued - ahead - 2 * skew or later.
+bool claim_table::Expired(const request_key& key, millis wall) const {
+  const millis now = std::max(wall, log_time_);
+  if (key.issued + window_.keep < now) {
+    return true;
+  }
+  if (covered_from_ == millis()) {
+    return false;
+  }
+  return key.issued - window_.ahead - window_.skew * 2 < covered_from_;
+}
+
+// Keys are forgotten only when every node refuses them as expired, also one
+// whose clock is behind.
+millis claim_table::OldestKept() const {
+  return log_time_ - window_.keep - window_.skew * 2;
+}
+
+// The three kinds commute with the duplicates and late arrivals that lost
+// answers cause: an entry repeats without effect, and a claim that lands after
+// its release is void.
+void claim_table::Apply(uint64_t writer, const claim_entry& entry,
+                        millis appended) {
+  if (Forgotten(entry.key)) {
+    return;
+  }
+  const claim_id who{writer, entry.sequence};
+  key_state& key = keys_[entry.key.id];
+  key.issued = entry.key.issued;
+  claim_view& view = key.view;
+  const bool released = Released(entry.key.id, who);
+  const bool free = view.held == claim_view::state::kFree;
+  const bool holder = !free && view.holder == who;
+  switch (entry.kind) {
+    case claim_kind::kClaim:
+      if (free && !released) {
+        view = {claim_view::state::kClaimed, who, 0, appended};
+      }
+      return;
+    case claim_kind::kCompleted:
+      if ((free && !released) || holder) {
+        view = {claim_view::state::kCompleted, who, entry.status, appended};
+      }
+      return;
+    case claim_kind::kReleased:
+      if (holder && view.held == claim_view::state::kClaimed) {
+        view = {};
+      }
+      if (!released && !(holder && view.held != claim_view::state::kFree)) {
+        key.released.push_back(who);
+      }
+      return;
+  }
+}
+
+void claim_table::Sweep() {
+  const millis oldest = OldestKept();
+  std::erase_if(
+      keys_, [&](const auto& entry) { return entry.second.issued < oldest; });
+  next_sweep_ = log_time_ + window_.keep / kSweepsPerWindow;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/request/claimer.h
@@ -0,0 +1,129 @@
+#ifndef REQUEST_CLAIMER_H_
+#define REQUEST_CLAIMER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/millis.h"
+#include "platform/append_log.h"
+#include "request/claim_record.h"
+#include "request/claim_table.h"
+#include "request/reason.h"
+#include "request/request_key.h"
+
+namespace peridotarch {
+
+/// How a claimer writes to the log.
+struct claim_limits {
+  millis append_interval = millis(10);    ///< Between the starts of appends.
+  millis append_timeout = millis(2'000);  ///< Then an answer counts as lost.
+  millis resend_after = millis(500);      ///< When an entry was not read back.
+  millis running_for = millis(60'000);  ///< A claim may be in flight this long.
+  size_t max_entries = 256;             ///< In one append.
+  size_t max_waiting = 4'096;           ///< Submissions and notes.
+};
+
+/// The answer to a submission's claim.
+struct claim_outcome {
+  uint64_t submission = 0;
+  bool won = false;
+  reason why = reason::kAnswered;  ///< When not won.
+  int status = 0;                  ///< Of kKeyAlreadyRan.
+};
+
+/// What the shell does next.
+struct claim_step {
+  std::optional<std::string> append;  ///< A record to append.
+  std::vector<claim_outcome> outcomes;
+};
+
+/// Claims keys for one process in one stream. Waiting claims go to the log
+/// together, with at most one append in flight; a claim is won only by reading
+/// it back as the first of its key. Answers to appends are not trusted: an
+/// entry that was not read back is sent again and takes effect once.
+class claimer {
+ public:
+  /// `writer` is unique for each start of a process.
+  claimer(uint64_t writer, claim_window window, claim_limits limits = {});
+
+  /// Asks to run a key before `deadline` (on the clock of `now`). Returns the
+  /// submission; Tick answers it once.
+  uint64_t Submit(const request_key& key, millis deadline, millis now,
+                  millis wall);
+
+  /// The holder ran the key with this status.
+  void Complete(uint64_t submission, int status);
+
+  /// The holder has not run the key and never will.
+  void Release(uint64_t submission);
+
+  /// The holder may have run the key; its outcome stays unknown.
+  void Leave(uint64_t submission);
+
+  /// The append in flight was answered or failed.
+  void AppendEnded();
+
+  /// A page was read from position().
+  void Read(const log_page& page, millis now, millis wall);
+
+  /// Returns what is to be done now.
+  claim_step Tick(millis now, millis wall);
+
+  /// Returns whether this submission holds its key's claim; to be checked
+  /// before the request is written.
+  [[nodiscard]] bool Holds(uint64_t submission) const {
+    return held_.contains(submission);
+  }
+
+  /// Returns the offset to read from next.
+  [[nodiscard]] uint64_t position() const { return table_.position(); }
+
+  /// Returns whether anything waits to be appended or read back.
+  [[nodiscard]] bool idle() const { return waiting_.empty() && notes_.empty(); }
+
+  [[nodiscard]] const claim_table& table() const { return table_; }
+
+ private:
+  struct waiting_claim {
+    request_key key;
+    millis deadline;
+    std::optional<millis> sent;
+  };
+  struct note {
+    claim_entry entry;
+    std::optional<millis> sent;
+  };
+
+  [[nodiscard]] std::optional<claim_outcome> Known(uint64_t submission,
+                                                   const request_key& key,
+                                                   millis wall) const;
+  [[nodiscard]] bool Due(const std::optional<millis>& sent, millis now) const;
+  void AddNote(claim_kind kind, const request_key& key, uint64_t submission,
+               int status);
+  void Settle(millis now, millis wall);
+  bool SettleOne(uint64_t submission, const waiting_claim& claim, millis now,
+                 millis wall);
+  void ForgetWrittenNotes();
+  [[nodiscard]] bool Written(const claim_entry& entry) const;
+  std::optional<std::string> NextAppend(millis now);
+
+  const uint64_t writer_;
+  const claim_limits limits_;
+  claim_table table_;
+  std::map<uint64_t, waiting_claim> waiting_;
+  std::map<uint64_t, request_key> held_;
+  std::map<uint64_t, note> notes_;  ///< By submission.
+  std::vector<claim_outcome> outcomes_;
+  uint64_t submissions_ = 0;
+  bool in_flight_ = false;
+  std::optional<millis> last_append_;
+};
+
+}  // namespace peridotarch
+
+#endif  // REQUEST_CLAIMER_H_
--- /dev/null
+++ b/request/retry.h
@@ -0,0 +1,49 @@
+#ifndef REQUEST_RETRY_H_
+#define REQUEST_RETRY_H_
+
+#include <array>
+#include <string_view>
+
+#include "core/millis.h"
+#include "core/names.h"
+#include "core/verdict.h"
+
+namespace peridotarch {
+
+class retry_budget;
+
+/// Whether a request is tried once more, or why not.
+enum class retry_decision {
+  kRetry,
+  kDone,            ///< A whole answer is known.
+  kMayRepeat,       ///< A repeat might run a non-idempotent request twice.
+  kAttemptsSpent,   ///< The route's retries are used up.
+  kNoTime,          ///< The deadline leaves no room for another attempt.
+  kShedEverywhere,  ///< Every instance or shard has shed it: more load.
+  kNoBudget,        ///< The service's retries have reached their share.
+};
+
+template <>
+struct names_of<retry_decision> {
+  static constexpr std::array<std::string_view, 7> kTable = {
+      "retry",           "done",     "may_repeat", "attempts_spent", "no_time",
+      "shed_everywhere", "no_budget"};
+};
+
+/// What is known when an attempt has ended.
+struct retry_case {
+  verdict attempts = verdict::kMayHaveRun;  ///< Of all attempts so far.
+  bool idempotent = false;
+  int retries_made = 0;
+  int retries_allowed = 0;  ///< Of the route's rule.
+  millis time_left;         ///< Until the deadline.
+  millis attempt_time;      ///< What an attempt is expected to take.
+  bool shed_everywhere = false;
+};
+
+/// Decides on one more attempt and takes it from the budget.
+retry_decision DecideRetry(const retry_case& known, retry_budget& budget);
+
+}  // namespace peridotarch
+
+#endif  // REQUEST_RETRY_H_
--- a/request/shard.cc
+++ b/request/shard.cc
@@ -34,8 +34,8 @@
   }
   const int slots = slots_.TotalSlots(now);
   const millis wait = ExpectedWait(call.deadline, slots);
-  const auto limit = static_cast<size_t>(limits_.per_slot * slots);
-  if (queue_.size() >= std::max<size_t>(limit, 1)) {
+  const int limit = std::max(limits_.per_slot * slots, 1);
+  if (queue_.size() >= static_cast<size_t>(limit)) {
     Refuse(id, reason::kQueueFull, wait);
     return;
   }
--- /dev/null
+++ b/tests/request/claims_test.cc
@@ -0,0 +1,185 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "core/invariant.h"
+#include "core/random.h"
+#include "request/claimer.h"
+#include "tests/request/fake_log.h"
+
+namespace peridotarch {
+namespace {
+
+constexpr int64_t kEpoch = 1'800'000'000'000;
+constexpr millis kStart{kEpoch};
+
+request_key Key(int number, millis issued = kStart) {
+  const std::string text =
+      std::to_string(issued.count()) + "-token" + std::to_string(1000 + number);
+  return *ParseRequestKey("payout-desk", text);
+}
+
+// Runs a claimer against the log at once, without faults; returns the
+// outcome of the submission.
+struct driver {
+  claimer who;
+  fake_log& log;
+
+  std::vector<claim_outcome> Step(millis now) {
+    std::vector<claim_outcome> outcomes;
+    for (int round = 0; round < 2; ++round) {
+      who.Read(log.Read(who.position()), now, kStart + now);
+      claim_step step = who.Tick(now, kStart + now);
+      if (step.append) {
+        log.Append(*step.append, kStart + now);
+        who.AppendEnded();
+      }
+      outcomes.insert(outcomes.end(), step.outcomes.begin(),
+                      step.outcomes.end());
+    }
+    who.Read(log.Read(who.position()), now, kStart + now);
+    const claim_step step = who.Tick(now, kStart + now);
+    outcomes.insert(outcomes.end(), step.outcomes.begin(), step.outcomes.end());
+    return outcomes;
+  }
+  uint64_t Submit(const request_key& key, millis now) {
+    return who.Submit(key, now + millis(1000), now, kStart + now);
+  }
+};
+
+TEST_CASE("keys are an issue time and a token") {
+  CHECK(ParseRequestKey("s", "1800000000000-abcdefgh"));
+  CHECK_FALSE(ParseRequestKey("s", "1800000000000"));
+  CHECK_FALSE(ParseRequestKey("s", "-abcdefgh"));
+  CHECK_FALSE(ParseRequestKey("s", "18-abcdefgh"));
+  CHECK_FALSE(ParseRequestKey("s", "1800000000000-short"));
+  CHECK_FALSE(ParseRequestKey("s", "1800000000000-abc defgh"));
+  CHECK_FALSE(ParseRequestKey("s", "x800000000000-abcdefgh"));
+  CHECK(ParseRequestKey("a", "1800000000000-abcdefgh")->id !=
+        ParseRequestKey("b", "1800000000000-abcdefgh")->id);
+}
+
+TEST_CASE("records survive the codec and torn ones are void") {
+  const bool held = rc::check("claims codec", [](uint64_t writer) {
+    claim_batch batch{writer, {}};
+    const auto count = *rc::gen::inRange(0, 20);
+    for (int i = 0; i < count; ++i) {
+      const auto kind = *rc::gen::inRange(0, 3);
+      batch.entries.push_back({static_cast<claim_kind>(kind), Key(i),
+                               *rc::gen::arbitrary<uint64_t>(),
+                               *rc::gen::inRange(0, 600)});
+    }
+    std::string data = EncodeClaims(batch);
+    const auto decoded = DecodeClaims(data);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded->writer == writer);
+    RC_ASSERT(decoded->entries.size() == batch.entries.size());
+    for (size_t i = 0; i < batch.entries.size(); ++i) {
+      RC_ASSERT(decoded->entries[i].kind == batch.entries[i].kind);
+      RC_ASSERT(decoded->entries[i].key.id == batch.entries[i].key.id);
+      RC_ASSERT(decoded->entries[i].sequence == batch.entries[i].sequence);
+      RC_ASSERT(decoded->entries[i].status == batch.entries[i].status);
+    }
+    const auto at = *rc::gen::inRange<size_t>(0, data.size());
+    RC_ASSERT(!DecodeClaims(std::string_view(data).substr(0, at)));
+    data[at] = static_cast<char>(data[at] ^ 0x20);
+    RC_ASSERT(!DecodeClaims(data));
+  });
+  CHECK(held);
+  CHECK_FALSE(DecodeClaims("foreign"));
+}
+
+TEST_CASE("the first claim in the log wins and repeats learn the status") {
+  SetBreachesFatal(true);
+  fake_log log;
+  driver a{claimer(1, {}), log};
+  driver b{claimer(2, {}), log};
+  const uint64_t first = a.Submit(Key(1), millis(0));
+  const auto won = a.Step(millis(0));
+  REQUIRE(won.size() == 1);
+  CHECK(won[0].won);
+  CHECK(a.who.Holds(first));
+  b.Submit(Key(1), millis(20));
+  const auto lost = b.Step(millis(20));
+  REQUIRE(lost.size() == 1);
+  CHECK(lost[0].why == reason::kKeyRunning);
+  a.who.Complete(first, 201);
+  a.Step(millis(40));
+  b.Step(millis(50));
+  b.Submit(Key(1), millis(60));
+  const auto repeat = b.Step(millis(60));
+  REQUIRE(repeat.size() == 1);
+  CHECK(repeat[0].why == reason::kKeyAlreadyRan);
+  CHECK(repeat[0].status == 201);
+}
+
+TEST_CASE("a released key can be claimed again, an abandoned one cannot win") {
+  SetBreachesFatal(true);
+  fake_log log;
+  driver a{claimer(1, {}), log};
+  driver b{claimer(2, {}), log};
+  a.Step(millis(0));
+  a.Submit(Key(1), millis(10));
+  claim_step step = a.who.Tick(millis(10), kStart + millis(10));
+  REQUIRE(step.append);
+  const std::string late = *step.append;
+  // The append is lost for now and the deadline passes.
+  const auto away = a.who.Tick(millis(1010), kStart + millis(1010));
+  REQUIRE(away.outcomes.size() == 1);
+  CHECK(away.outcomes[0].why == reason::kLogAway);
+  a.Step(millis(3000));
+  log.Append(late, kStart + millis(3001));
+  const uint64_t again = b.Submit(Key(1), millis(3010));
+  const auto won = b.Step(millis(3010));
+  REQUIRE(won.size() == 1);
+  CHECK(won[0].won);
+  b.who.Release(again);
+  b.Step(millis(3030));
+  log.Append(late, kStart + millis(3040));
+  a.Submit(Key(1), millis(3050));
+  CHECK(a.Step(millis(3050)).at(0).won);
+}
+
+TEST_CASE("keys out of the window are declined as maybe run") {
+  fake_log log;
+  driver a{claimer(1, {}), log};
+  const claim_window window;
+  const millis old = kStart - window.keep - millis(1);
+  a.Submit(Key(1, old), millis(0));
+  CHECK(a.Step(millis(0)).at(0).why == reason::kKeyExpired);
+  a.Submit(Key(2, kStart + window.ahead + millis(100)), millis(20));
+  CHECK(a.Step(millis(20)).at(0).why == reason::kKeyInFuture);
+}
+
+TEST_CASE("a node does not claim keys from before the records that it has") {
+  fake_log log;
+  driver a{claimer(1, {}), log};
+  const uint64_t first = a.Submit(Key(1), millis(0));
+  CHECK(a.Step(millis(0)).at(0).won);
+  a.who.Leave(first);
+  a.Submit(Key(2, kStart + millis(200'000)), millis(200'000));
+  a.Step(millis(200'000));
+  log.Retain(kStart + millis(100'000));
+  driver fresh{claimer(2, {}), log};
+  fresh.Submit(Key(1), millis(200'100));
+  const auto outcome = fresh.Step(millis(200'100));
+  REQUIRE(outcome.size() == 1);
+  CHECK_FALSE(outcome[0].won);
+  CHECK(outcome[0].why == reason::kKeyExpired);
+}
+
+TEST_CASE("waiting claims share one append") {
+  fake_log log;
+  driver a{claimer(1, {}), log};
+  a.Step(millis(0));
+  for (int i = 0; i < 100; ++i) {
+    a.Submit(Key(i), millis(10));
+  }
+  const auto outcomes = a.Step(millis(10));
+  CHECK(outcomes.size() == 100);
+  CHECK(log.size() == 1);
+}
+
+}  // namespace
+}  // namespace peridotarch
