--- a/request/claim_record.cc
+++ b/request/claim_record.cc
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr std::string_view kFormat = "claims1";
-constexpr uint64_t kChecksumSeed = 0x636c61696d733031;
-constexpr size_t kEntryFields = 5;
+constexpr std::string_view kFormat = "claims2";
+constexpr uint64_t kChecksumSeed = 0x636c61696d733032;
+constexpr size_t kEntryFields = 6;
 constexpr size_t kMaxEntries = 4096;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
@@ -25,6 +25,7 @@
   out.pack(entry.key.issued.count());
   out.pack(entry.sequence);
   out.pack(entry.status);
+  out.pack(entry.seen);
 }
 
 claim_entry Unpack(const msgpack::object& object) {
@@ -45,6 +46,7 @@
   entry.key.issued = millis(fields[2].as<int64_t>());
   entry.sequence = fields[3].as<uint64_t>();
   entry.status = fields[4].as<int>();
+  entry.seen = fields[5].as<uint64_t>();
   return entry;
 }
 
--- a/request/claim_record.h
+++ b/request/claim_record.h
@@ -40,7 +40,9 @@
   claim_kind kind = claim_kind::kClaim;
   request_key key;
   uint64_t sequence = 0;
-  int status = 0;  ///< HTTP status, of kCompleted.
+  int status = 0;     ///< HTTP status, of kCompleted.
+  uint64_t seen = 0;  ///< Of kClaim: the writer's position in the stream when
+                      ///< the submission came.
 };
 
 /// One record of the stream: entries of one writer, in order.
--- a/request/claim_table.cc
+++ b/request/claim_table.cc
@@ -12,9 +12,10 @@
 
 // A page is contiguous with what was folded before, or a gap is noted. A
 // replica that lags behind our position has nothing to tell.
-void claim_table::Fold(const log_page& page, millis wall) {
+std::vector<claim_id> claim_table::Fold(const log_page& page, millis wall) {
+  std::vector<claim_id> lost;
   if (page.next < position_) {
-    return;
+    return lost;
   }
   const bool gap = ready_ ? page.first > position_ : page.first > 0;
   if (gap) {
@@ -33,12 +34,16 @@
       continue;
     }
     for (const claim_entry& entry : batch->entries) {
-      Apply(batch->writer, entry, record.appended);
+      const claim_id who{batch->writer, entry.sequence};
+      if (!Apply(who, entry, record)) {
+        lost.push_back(who);
+      }
     }
   }
   if (log_time_ >= next_sweep_) {
     Sweep();
   }
+  return lost;
 }
 
 // Records before the page are lost to us. A key that could have been claimed in
@@ -84,41 +89,58 @@
   return log_time_ - window_.keep - window_.skew * 2;
 }
 
-// The three kinds commute with the duplicates and late arrivals that lost
-// answers cause: an entry repeats without effect, and a claim that lands after
-// its release is void.
-void claim_table::Apply(uint64_t writer, const claim_entry& entry,
-                        millis appended) {
+// The three kinds bear the duplicates and late arrivals that lost answers
+// cause: an entry repeats without effect, and a claim that lands after its
+// release is void. Returns false for a claim that does not hold the key.
+bool claim_table::Apply(claim_id who, const claim_entry& entry,
+                        const log_record& record) {
   if (Forgotten(entry.key)) {
-    return;
+    return entry.kind != claim_kind::kClaim;
   }
-  const claim_id who{writer, entry.sequence};
   key_state& key = keys_[entry.key.id];
   key.issued = entry.key.issued;
   claim_view& view = key.view;
-  const bool released = Released(entry.key.id, who);
   const bool free = view.held == claim_view::state::kFree;
   const bool holder = !free && view.holder == who;
+  const bool open = free && !Released(entry.key.id, who);
   switch (entry.kind) {
     case claim_kind::kClaim:
-      if (free && !released) {
-        view = {claim_view::state::kClaimed, who, 0, appended};
+      if (open && entry.seen >= key.open_from) {
+        view = {claim_view::state::kClaimed, who, 0, record.appended};
+        return true;
       }
-      return;
+      return holder;
     case claim_kind::kCompleted:
-      if ((free && !released) || holder) {
-        view = {claim_view::state::kCompleted, who, entry.status, appended};
+      if (open || holder) {
+        view = {claim_view::state::kCompleted, who, entry.status,
+                record.appended};
       }
-      return;
+      return true;
     case claim_kind::kReleased:
-      if (holder && view.held == claim_view::state::kClaimed) {
-        view = {};
-      }
-      if (!released && !(holder && view.held != claim_view::state::kFree)) {
-        key.released.push_back(who);
-      }
+      Release(key, who, record);
+      return true;
+  }
+  return true;
+}
+
+// A caller was told not_run before its holder's release was written. Only a
+// submission that came to a node which had read the release may run the key:
+// one that came earlier could have been pending when not_run was said.
+void claim_table::Release(key_state& key, claim_id who,
+                          const log_record& record) {
+  const auto& released = key.released;
+  if (std::find(released.begin(), released.end(), who) != released.end()) {
+    return;
+  }
+  claim_view& view = key.view;
+  if (view.held != claim_view::state::kFree && view.holder == who) {
+    if (view.held == claim_view::state::kCompleted) {
       return;
+    }
+    view = {};
+    key.open_from = record.offset + 1;
   }
+  key.released.push_back(who);
 }
 
 void claim_table::Sweep() {
--- a/request/claim_table.h
+++ b/request/claim_table.h
@@ -37,8 +37,9 @@
   explicit claim_table(claim_window window) : window_(window) {}
 
   /// Folds a page that was read from position(). Pages of a replica that lags
-  /// are ignored. `wall` is this node's clock.
-  void Fold(const log_page& page, millis wall);
+  /// are ignored. `wall` is this node's clock. Returns the claims in the page
+  /// that did not win.
+  std::vector<claim_id> Fold(const log_page& page, millis wall);
 
   /// Returns the offset to read from next.
   [[nodiscard]] uint64_t position() const { return position_; }
@@ -74,10 +75,12 @@
     claim_view view;
     millis issued;
     std::vector<claim_id> released;  ///< Their claims are void.
+    uint64_t open_from = 0;  ///< Position after the holder's last release.
   };
 
   void NoteGap(const log_page& page, millis wall);
-  void Apply(uint64_t writer, const claim_entry& entry, millis appended);
+  bool Apply(claim_id who, const claim_entry& entry, const log_record& record);
+  void Release(key_state& key, claim_id who, const log_record& record);
   void Sweep();
   [[nodiscard]] millis OldestKept() const;
 
--- a/request/claimer.cc
+++ b/request/claimer.cc
@@ -20,7 +20,8 @@
     outcomes_.push_back({submission, false, why, 0});
     return submission;
   }
-  waiting_.emplace(submission, waiting_claim{key, deadline, std::nullopt});
+  waiting_.emplace(submission, waiting_claim{key, deadline, table_.position(),
+                                             false, std::nullopt});
   return submission;
 }
 
@@ -56,17 +57,21 @@
   if (held == held_.end()) {
     return;
   }
-  AddNote(claim_kind::kCompleted, held->second, submission, status);
+  AddNote({claim_kind::kCompleted, held->second, submission, status}, millis());
   held_.erase(held);
 }
 
-void claimer::Release(uint64_t submission) {
+// A caller may have sent the key to several nodes at once. The delay lets such
+// a submission arrive while the key is still held, so that it is not run after
+// its twin was reported as not run.
+void claimer::Release(uint64_t submission, millis now) {
   const auto held = held_.find(submission);
   Check(held != held_.end(), invariant::kNotRun);
   if (held == held_.end()) {
     return;
   }
-  AddNote(claim_kind::kReleased, held->second, submission, 0);
+  AddNote({claim_kind::kReleased, held->second, submission},
+          now + limits_.release_delay);
   held_.erase(held);
 }
 
@@ -74,17 +79,16 @@
 
 // A note that is dropped leaves its key claimed: repeats are told that it may
 // have run, which is true.
-void claimer::AddNote(claim_kind kind, const request_key& key,
-                      uint64_t submission, int status) {
+void claimer::AddNote(const claim_entry& entry, millis not_before) {
   if (notes_.size() < limits_.max_waiting) {
-    notes_[submission] = {{kind, key, submission, status}, std::nullopt};
+    notes_[entry.sequence] = {entry, not_before, std::nullopt};
   }
 }
 
 void claimer::AppendEnded() { in_flight_ = false; }
 
 void claimer::Read(const log_page& page, millis now, millis wall) {
-  table_.Fold(page, wall);
+  NoteLost(table_.Fold(page, wall));
   ForgetWrittenNotes();
   Settle(now, wall);
 }
@@ -97,6 +101,15 @@
   return step;
 }
 
+void claimer::NoteLost(const std::vector<claim_id>& lost) {
+  for (const claim_id& who : lost) {
+    const auto claim = waiting_.find(who.sequence);
+    if (who.writer == writer_ && claim != waiting_.end()) {
+      claim->second.lost = true;
+    }
+  }
+}
+
 void claimer::Settle(millis now, millis wall) {
   for (auto claim = waiting_.begin(); claim != waiting_.end();) {
     const bool settled = SettleOne(claim->first, claim->second, now, wall);
@@ -112,6 +125,9 @@
   const claim_id own{writer_, submission};
   std::optional<claim_outcome> outcome = Known(submission, claim.key, wall);
   const claim_view view = table_.Find(claim.key.id);
+  if (!outcome && claim.lost) {
+    outcome = {submission, false, reason::kKeyRunning, 0};
+  }
   if (!outcome && claim.deadline <= now) {
     outcome = {submission, false, reason::kLogAway, 0};
   }
@@ -125,7 +141,7 @@
     return false;
   }
   if (claim.sent) {
-    AddNote(claim_kind::kReleased, claim.key, submission, 0);
+    AddNote({claim_kind::kReleased, claim.key, submission}, now);
   }
   outcomes_.push_back(*outcome);
   return true;
@@ -151,8 +167,6 @@
   return !sent || now - *sent >= limits_.resend_after;
 }
 
-// Notes go first, so that a key released here can be claimed again by the same
-// record.
 std::optional<std::string> claimer::NextAppend(millis now) {
   if (in_flight_ && now - *last_append_ >= limits_.append_timeout) {
     in_flight_ = false;
@@ -164,14 +178,16 @@
   }
   claim_batch batch{writer_, {}};
   for (auto& [submission, pending] : notes_) {
-    if (batch.entries.size() < limits_.max_entries && Due(pending.sent, now)) {
+    if (batch.entries.size() < limits_.max_entries &&
+        now >= pending.not_before && Due(pending.sent, now)) {
       batch.entries.push_back(pending.entry);
       pending.sent = now;
     }
   }
   for (auto& [submission, claim] : waiting_) {
     if (batch.entries.size() < limits_.max_entries && Due(claim.sent, now)) {
-      batch.entries.push_back({claim_kind::kClaim, claim.key, submission, 0});
+      batch.entries.push_back(
+          {claim_kind::kClaim, claim.key, submission, 0, claim.seen});
       claim.sent = now;
     }
   }
--- a/request/claimer.h
+++ b/request/claimer.h
@@ -23,6 +23,7 @@
   millis append_interval = millis(10);    ///< Between the starts of appends.
   millis append_timeout = millis(2'000);  ///< Then an answer counts as lost.
   millis resend_after = millis(500);      ///< When an entry was not read back.
+  millis release_delay = millis(500);     ///< From the reply to the release.
   millis running_for = millis(60'000);  ///< A claim may be in flight this long.
   size_t max_entries = 256;             ///< In one append.
   size_t max_waiting = 4'096;           ///< Submissions and notes.
@@ -59,8 +60,9 @@
   /// The holder ran the key with this status.
   void Complete(uint64_t submission, int status);
 
-  /// The holder has not run the key and never will.
-  void Release(uint64_t submission);
+  /// The holder has not run the key and never will. To be called after the
+  /// caller was told so.
+  void Release(uint64_t submission, millis now);
 
   /// The holder may have run the key; its outcome stays unknown.
   void Leave(uint64_t submission);
@@ -92,10 +94,13 @@
   struct waiting_claim {
     request_key key;
     millis deadline;
+    uint64_t seen = 0;  ///< Position in the stream when it came.
+    bool lost = false;  ///< Its claim was read back and does not hold the key.
     std::optional<millis> sent;
   };
   struct note {
     claim_entry entry;
+    millis not_before;
     std::optional<millis> sent;
   };
 
@@ -103,11 +108,11 @@
                                                    const request_key& key,
                                                    millis wall) const;
   [[nodiscard]] bool Due(const std::optional<millis>& sent, millis now) const;
-  void AddNote(claim_kind kind, const request_key& key, uint64_t submission,
-               int status);
+  void AddNote(const claim_entry& entry, millis not_before);
   void Settle(millis now, millis wall);
   bool SettleOne(uint64_t submission, const waiting_claim& claim, millis now,
                  millis wall);
+  void NoteLost(const std::vector<claim_id>& lost);
   void ForgetWrittenNotes();
   [[nodiscard]] bool Written(const claim_entry& entry) const;
   std::optional<std::string> NextAppend(millis now);
--- a/tests/request/claims_test.cc
+++ b/tests/request/claims_test.cc
@@ -68,7 +68,8 @@
       const auto kind = *rc::gen::inRange(0, 3);
       batch.entries.push_back({static_cast<claim_kind>(kind), Key(i),
                                *rc::gen::arbitrary<uint64_t>(),
-                               *rc::gen::inRange(0, 600)});
+                               *rc::gen::inRange(0, 600),
+                               *rc::gen::arbitrary<uint64_t>()});
     }
     std::string data = EncodeClaims(batch);
     const auto decoded = DecodeClaims(data);
@@ -79,6 +80,7 @@
       RC_ASSERT(decoded->entries[i].kind == batch.entries[i].kind);
       RC_ASSERT(decoded->entries[i].key.id == batch.entries[i].key.id);
       RC_ASSERT(decoded->entries[i].sequence == batch.entries[i].sequence);
+      RC_ASSERT(decoded->entries[i].seen == batch.entries[i].seen);
       RC_ASSERT(decoded->entries[i].status == batch.entries[i].status);
     }
     const auto at = *rc::gen::inRange<size_t>(0, data.size());
@@ -134,11 +136,31 @@
   const auto won = b.Step(millis(3010));
   REQUIRE(won.size() == 1);
   CHECK(won[0].won);
-  b.who.Release(again);
-  b.Step(millis(3030));
-  log.Append(late, kStart + millis(3040));
-  a.Submit(Key(1), millis(3050));
-  CHECK(a.Step(millis(3050)).at(0).won);
+  b.who.Release(again, millis(3030));
+  b.Step(millis(3600));
+  log.Append(late, kStart + millis(3640));
+  a.Step(millis(3645));
+  a.Submit(Key(1), millis(3650));
+  CHECK(a.Step(millis(3650)).at(0).won);
+}
+
+TEST_CASE("a submission that came before the release cannot run the key") {
+  SetBreachesFatal(true);
+  fake_log log;
+  driver a{claimer(1, {}), log};
+  driver b{claimer(2, {}), log};
+  a.Step(millis(0));
+  b.Step(millis(0));
+  b.Submit(Key(1), millis(5));
+  const uint64_t first = a.Submit(Key(1), millis(10));
+  REQUIRE(a.Step(millis(10)).at(0).won);
+  a.who.Release(first, millis(20));
+  a.Step(millis(600));
+  const auto lost = b.Step(millis(700));
+  REQUIRE(lost.size() == 1);
+  CHECK(lost[0].why == reason::kKeyRunning);
+  b.Submit(Key(1), millis(760));
+  CHECK(b.Step(millis(760)).at(0).won);
 }
 
 TEST_CASE("keys out of the window are declined as maybe run") {
