Fault matrix and 10,000 random schedules against the upstreams' own records

Cause: at most once and true verdicts have to hold for every fault at every step, judged by what the instances ran and not by what the proxy believes.

Change: tests/request/world drives the shipped decisions (owner_call, claimer, shard, JudgeAttempt) of three proxies before three instances, the log and callers who repeat their keys, in virtual time from one seed. Fourteen faults at ten steps, cells that cannot happen named with the reason; lost, late and doubled appends, lagging reads and clocks apart by 20 s run throughout.

No functional change.

--- /dev/null
+++ b/tests/request/fault_matrix_test.cc
@@ -0,0 +1,142 @@
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "core/invariant.h"
+#include "core/random.h"
+#include "tests/request/world.h"
+
+namespace peridotarch {
+namespace {
+
+constexpr size_t kSteps = names_of<path_step>::kTable.size();
+constexpr size_t kFaults = names_of<fault>::kTable.size();
+
+// Returns why a fault cannot strike at a step, or nothing.
+std::string NotApplicable(path_step step, fault what) {
+  const bool written = step >= path_step::kWait;
+  const bool read = step >= path_step::kReply;
+  switch (what) {
+    case fault::kResetBeforeWrite:
+      return written ? "the request is written" : "";
+    case fault::kShed:
+      return written ? "the instance has taken the request" : "";
+    case fault::kSlow:
+      return step >= path_step::kRead ? "the answer is there" : "";
+    case fault::kLateAnswer:
+      return step >= path_step::kRead ? "the answer is there" : "";
+    case fault::kResetAfterWrite:
+    case fault::kTruncated:
+      return read ? "the exchange is over" : "";
+    default:
+      return "";
+  }
+}
+
+void Add(world_result& sum, const world_result& one) {
+  sum.struck += one.struck;
+  sum.submissions += one.submissions;
+  sum.replies += one.replies;
+  sum.answered += one.answered;
+  sum.told_not_run += one.told_not_run;
+  sum.told_may_have_run += one.told_may_have_run;
+  sum.runs += one.runs;
+  sum.duplicates += one.duplicates;
+  sum.false_not_run += one.false_not_run;
+  sum.false_ran += one.false_ran;
+  sum.foreign += one.foreign;
+  sum.unanswered += one.unanswered;
+  for (size_t i = 0; i < sum.reasons.size(); ++i) {
+    sum.reasons[i] += one.reasons[i];
+  }
+}
+
+bool Holds(const world_result& result) {
+  return result.duplicates == 0 && result.false_not_run == 0 &&
+         result.false_ran == 0 && result.foreign == 0;
+}
+
+TEST_CASE("every fault at every step keeps the promises") {
+  SetBreachesFatal(true);
+  constexpr uint64_t kSeedsPerCell = 25;
+  std::cout << "fault matrix, " << kSeedsPerCell << " seeds a cell\n";
+  for (size_t s = 0; s < kSteps; ++s) {
+    for (size_t f = 0; f < kFaults; ++f) {
+      const auto step = static_cast<path_step>(s);
+      const auto what = static_cast<fault>(f);
+      const std::string reason = NotApplicable(step, what);
+      std::cout << ToName(step) << " x " << ToName(what) << ": ";
+      if (!reason.empty()) {
+        std::cout << "n/a (" << reason << ")\n";
+        continue;
+      }
+      world_result sum;
+      for (uint64_t seed = 1; seed <= kSeedsPerCell; ++seed) {
+        const uint64_t mixed = seed * 1000 + s * kFaults + f;
+        const world_result one = RunWorld(mixed, {{step, what, 0}}, 2);
+        INFO(ToName(step) << " x " << ToName(what) << " seed " << mixed);
+        CHECK(Holds(one));
+        Add(sum, one);
+      }
+      CHECK(sum.struck > 0);
+      std::cout << (Holds(sum) ? "pass" : "FAIL") << " (struck " << sum.struck
+                << ")\n";
+    }
+  }
+}
+
+TEST_CASE("without faults every request runs once and is answered") {
+  SetBreachesFatal(true);
+  world_result sum;
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    const world_result one = RunWorld(seed, {}, 3);
+    INFO("seed " << seed);
+    CHECK(Holds(one));
+    CHECK(one.unanswered == 0);
+    Add(sum, one);
+  }
+  CHECK(sum.answered >= 500);
+}
+
+TEST_CASE("random schedules of faults keep the promises") {
+  SetBreachesFatal(true);
+  constexpr uint64_t kSchedules = 10'000;
+  constexpr uint64_t kFirstSeed = 500'000;
+  world_result sum;
+  for (uint64_t i = 0; i < kSchedules; ++i) {
+    const uint64_t seed = kFirstSeed + i;
+    random_bits random(seed);
+    std::vector<planned_fault> faults;
+    const uint64_t count = 1 + random.Below(5);
+    for (uint64_t n = 0; n < count; ++n) {
+      faults.push_back({static_cast<path_step>(random.Below(kSteps)),
+                        static_cast<fault>(random.Below(kFaults)),
+                        random.Below(3)});
+    }
+    const world_result one = RunWorld(seed, faults, 3);
+    INFO("seed " << seed);
+    CHECK(Holds(one));
+    Add(sum, one);
+  }
+  std::cout << "schedules " << kSchedules << ", seeds " << kFirstSeed << ".."
+            << kFirstSeed + kSchedules - 1 << ": faults " << sum.struck
+            << ", submissions " << sum.submissions << ", replies "
+            << sum.replies << ", whole answers " << sum.answered
+            << ", told not_run " << sum.told_not_run << ", told may_have_run "
+            << sum.told_may_have_run << ", runs " << sum.runs << ", duplicates "
+            << sum.duplicates << ", false not_run " << sum.false_not_run
+            << ", false ran " << sum.false_ran << ", foreign " << sum.foreign
+            << '\n';
+  for (size_t i = 0; i < sum.reasons.size(); ++i) {
+    if (sum.reasons[i] > 0) {
+      std::cout << "  " << names_of<reason>::kTable[i] << ' ' << sum.reasons[i]
+                << '\n';
+    }
+  }
+  CHECK(sum.struck > 10'000);
+  CHECK(sum.told_not_run > 0);
+}
+
+}  // namespace
+}  // namespace peridotarch
--- /dev/null
+++ b/tests/request/world.h
@@ -0,0 +1,96 @@
+#ifndef TESTS_REQUEST_WORLD_H_
+#define TESTS_REQUEST_WORLD_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "core/names.h"
+#include "request/reason.h"
+
+namespace peridotarch {
+
+/// The steps of a request at which a fault can strike.
+enum class path_step {
+  kAccept,
+  kParse,
+  kChoose,
+  kClaim,
+  kConnect,
+  kWrite,
+  kWait,
+  kRead,
+  kReply,
+  kRelease,
+};
+
+template <>
+struct names_of<path_step> {
+  static constexpr std::array<std::string_view, 10> kTable = {
+      "accept", "parse", "choose", "claim", "connect",
+      "write",  "wait",  "read",   "reply", "release"};
+};
+
+/// What strikes.
+enum class fault {
+  kCrash,
+  kPause,
+  kResetBeforeWrite,
+  kResetAfterWrite,
+  kSlow,
+  kTruncated,
+  kLateAnswer,
+  kShed,
+  kDrain,
+  kOwnerChange,
+  kLogAway,
+  kAppendAnswerLost,
+  kCutOut,
+  kCutIn,
+};
+
+template <>
+struct names_of<fault> {
+  static constexpr std::array<std::string_view, 14> kTable = {
+      "crash",   "pause",        "reset_before_write", "reset_after_write",
+      "slow",    "truncated",    "late_answer",        "shed",
+      "drain",   "owner_change", "log_away",           "append_answer_lost",
+      "cut_out", "cut_in"};
+};
+
+/// One fault at one step of the first submission of a request.
+struct planned_fault {
+  path_step step = path_step::kAccept;
+  fault what = fault::kCrash;
+  size_t request = 0;
+};
+
+/// What a schedule came to; violations are found against the upstreams' own
+/// records of runs.
+struct world_result {
+  int struck = 0;  ///< Planned faults that took place.
+  int submissions = 0;
+  int replies = 0;
+  int answered = 0;
+  int told_not_run = 0;
+  int told_may_have_run = 0;
+  int runs = 0;
+  int duplicates = 0;  ///< Runs beyond the first of a non-idempotent request.
+  int false_not_run = 0;  ///< Told not_run, yet it ran or did so later.
+  int false_ran = 0;      ///< Told ran, yet there is no run.
+  int foreign = 0;        ///< Answers of another request or cut short.
+  int unanswered = 0;     ///< Submissions without reply though no node crashed.
+  /// Replies by reason.
+  std::array<int, names_of<reason>::kTable.size()> reasons{};
+};
+
+/// Runs several proxies before a few instances, the log and callers who repeat,
+/// in virtual time; all from one seed.
+world_result RunWorld(uint64_t seed, std::vector<planned_fault> faults,
+                      size_t requests);
+
+}  // namespace peridotarch
+
+#endif  // TESTS_REQUEST_WORLD_H_
