A claimer takes its record read back for an answer; a lost outcome is told

Repeats of a key whose holder had lost the outcome were told key_running and came again.

Change: records carry a number; reading one back ends its append. The timeout of an append is 100 ms and doubles up to 2 s while none is read back, so that a slow log gets fewer appends. A holder that lost the outcome writes "unknown".

--- a/request/claim_record.cc
+++ b/request/claim_record.cc
@@ -9,9 +9,10 @@
 
 namespace {
 
-constexpr std::string_view kFormat = "claims2";
-constexpr uint64_t kChecksumSeed = 0x636c61696d733032;
+constexpr std::string_view kFormat = "claims3";
+constexpr uint64_t kChecksumSeed = 0x636c61696d733033;
 constexpr size_t kEntryFields = 6;
+constexpr size_t kBatchFields = 4;
 constexpr size_t kMaxEntries = 4096;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
@@ -54,12 +55,13 @@
   const msgpack::object_handle handle =
       msgpack::unpack(body.data(), body.size());
   const auto fields = handle.get().as<std::vector<msgpack::object>>();
-  if (fields.size() != 3 || fields[0].as<std::string>() != kFormat) {
+  if (fields.size() != kBatchFields || fields[0].as<std::string>() != kFormat) {
     throw msgpack::type_error();
   }
   claim_batch batch;
   batch.writer = fields[1].as<uint64_t>();
-  const auto entries = fields[2].as<std::vector<msgpack::object>>();
+  batch.number = fields[2].as<uint64_t>();
+  const auto entries = fields[3].as<std::vector<msgpack::object>>();
   if (entries.size() > kMaxEntries) {
     throw msgpack::type_error();
   }
@@ -72,13 +74,14 @@
 }  // namespace
 
 // Layout: checksum (8 bytes, little-endian) | msgpack [format, writer,
-// entries].
+// number, entries].
 std::string EncodeClaims(const claim_batch& batch) {
   msgpack::sbuffer buffer;
   packer out(buffer);
-  out.pack_array(3);
+  out.pack_array(kBatchFields);
   out.pack(std::string(kFormat));
   out.pack(batch.writer);
+  out.pack(batch.number);
   out.pack_array(static_cast<uint32_t>(batch.entries.size()));
   for (const claim_entry& entry : batch.entries) {
     Pack(out, entry);
--- a/request/claim_record.h
+++ b/request/claim_record.h
@@ -19,12 +19,13 @@
   kClaim,      ///< A submission asks to run the key.
   kCompleted,  ///< The claim's holder ran it and knows the status.
   kReleased,   ///< The submission has not run the key and never will.
+  kUnknown,    ///< The claim's holder may have run it; its outcome is lost.
 };
 
 template <>
 struct names_of<claim_kind> {
-  static constexpr std::array<std::string_view, 3> kTable = {
-      "claim", "completed", "released"};
+  static constexpr std::array<std::string_view, 4> kTable = {
+      "claim", "completed", "released", "unknown"};
 };
 
 /// Names one submission of a request to an owner.
@@ -48,6 +49,7 @@
 /// One record of the stream: entries of one writer, in order.
 struct claim_batch {
   uint64_t writer = 0;
+  uint64_t number = 0;  ///< Rises with the writer's appends.
   std::vector<claim_entry> entries;
 };
 
--- a/request/claim_table.cc
+++ b/request/claim_table.cc
@@ -12,10 +12,10 @@
 
 // A page is contiguous with what was folded before, or a gap is noted. A
 // replica that lags behind our position has nothing to tell.
-std::vector<claim_id> claim_table::Fold(const log_page& page, millis wall) {
-  std::vector<claim_id> lost;
+fold_result claim_table::Fold(const log_page& page, millis wall) {
+  fold_result result;
   if (page.next < position_) {
-    return lost;
+    return result;
   }
   const bool gap = ready_ ? page.first > position_ : page.first > 0;
   if (gap) {
@@ -33,17 +33,18 @@
       ++void_records_;
       continue;
     }
+    result.records.push_back({batch->writer, batch->number});
     for (const claim_entry& entry : batch->entries) {
       const claim_id who{batch->writer, entry.sequence};
       if (!Apply(who, entry, record)) {
-        lost.push_back(who);
+        result.lost.push_back(who);
       }
     }
   }
   if (log_time_ >= next_sweep_) {
     Sweep();
   }
-  return lost;
+  return result;
 }
 
 // Records before the page are lost to us. A key that could have been claimed in
@@ -116,6 +117,11 @@
                 record.appended};
       }
       return true;
+    case claim_kind::kUnknown:
+      if (holder && view.held == claim_view::state::kClaimed) {
+        view.held = claim_view::state::kUnknown;
+      }
+      return true;
     case claim_kind::kReleased:
       Release(key, who, record);
       return true;
@@ -134,7 +140,7 @@
   }
   claim_view& view = key.view;
   if (view.held != claim_view::state::kFree && view.holder == who) {
-    if (view.held == claim_view::state::kCompleted) {
+    if (view.held != claim_view::state::kClaimed) {
       return;
     }
     view = {};
--- a/request/claim_table.h
+++ b/request/claim_table.h
@@ -23,13 +23,19 @@
 
 /// What the fold holds of a key.
 struct claim_view {
-  enum class state { kFree, kClaimed, kCompleted };
+  enum class state { kFree, kClaimed, kCompleted, kUnknown };
   state held = state::kFree;
   claim_id holder;
   int status = 0;  ///< Of kCompleted.
   millis since;    ///< The log's clock.
 };
 
+/// What a page held for the writers of its records.
+struct fold_result {
+  std::vector<claim_id> lost;     ///< Claims that do not hold their key.
+  std::vector<claim_id> records;  ///< Writer and number of each record.
+};
+
 /// The claims of a stream, folded in log order: the first claim of a key wins.
 /// Every reader that has folded a record agrees on the winner.
 class claim_table {
@@ -37,9 +43,8 @@
   explicit claim_table(claim_window window) : window_(window) {}
 
   /// Folds a page that was read from position(). Pages of a replica that lags
-  /// are ignored. `wall` is this node's clock. Returns the claims in the page
-  /// that did not win.
-  std::vector<claim_id> Fold(const log_page& page, millis wall);
+  /// are ignored. `wall` is this node's clock.
+  fold_result Fold(const log_page& page, millis wall);
 
   /// Returns the offset to read from next.
   [[nodiscard]] uint64_t position() const { return position_; }
--- a/request/claimer.cc
+++ b/request/claimer.cc
@@ -1,11 +1,16 @@
 #include "request/claimer.h"
 
+#include <algorithm>
+
 #include "core/invariant.h"
 
 namespace peridotarch {
 
 claimer::claimer(uint64_t writer, claim_window window, claim_limits limits)
-    : writer_(writer), limits_(limits), table_(window) {}
+    : writer_(writer),
+      limits_(limits),
+      table_(window),
+      timeout_(limits.append_timeout) {}
 
 uint64_t claimer::Submit(const request_key& key, millis deadline, millis now,
                          millis wall) {
@@ -36,6 +41,9 @@
     return claim_outcome{submission, false, reason::kKeyAlreadyRan,
                          view.status};
   }
+  if (view.held == claim_view::state::kUnknown) {
+    return claim_outcome{submission, false, reason::kKeyOutcomeUnknown, 0};
+  }
   if (view.held == claim_view::state::kClaimed && !ours) {
     const bool fresh = wall - view.since < limits_.running_for;
     return claim_outcome{
@@ -75,7 +83,14 @@
   held_.erase(held);
 }
 
-void claimer::Leave(uint64_t submission) { held_.erase(submission); }
+void claimer::Leave(uint64_t submission) {
+  const auto held = held_.find(submission);
+  if (held == held_.end()) {
+    return;
+  }
+  AddNote({claim_kind::kUnknown, held->second, submission}, millis());
+  held_.erase(held);
+}
 
 // A note that is dropped leaves its key claimed: repeats are told that it may
 // have run, which is true.
@@ -88,7 +103,9 @@
 void claimer::AppendEnded() { in_flight_ = false; }
 
 void claimer::Read(const log_page& page, millis now, millis wall) {
-  NoteLost(table_.Fold(page, wall));
+  const fold_result result = table_.Fold(page, wall);
+  NoteWritten(result.records);
+  NoteLost(result.lost);
   ForgetWrittenNotes();
   Settle(now, wall);
 }
@@ -101,6 +118,16 @@
   return step;
 }
 
+// Reading a record back is the better answer to its append.
+void claimer::NoteWritten(const std::vector<claim_id>& records) {
+  for (const claim_id& record : records) {
+    if (record == claim_id{writer_, appends_}) {
+      in_flight_ = false;
+      timeout_ = limits_.append_timeout;
+    }
+  }
+}
+
 void claimer::NoteLost(const std::vector<claim_id>& lost) {
   for (const claim_id& who : lost) {
     const auto claim = waiting_.find(who.sequence);
@@ -156,7 +183,8 @@
   if (entry.kind == claim_kind::kReleased) {
     return table_.Released(entry.key.id, own);
   }
-  return view.held == claim_view::state::kCompleted;
+  return view.held == claim_view::state::kCompleted ||
+         view.held == claim_view::state::kUnknown;
 }
 
 void claimer::ForgetWrittenNotes() {
@@ -164,19 +192,21 @@
 }
 
 bool claimer::Due(const std::optional<millis>& sent, millis now) const {
-  return !sent || now - *sent >= limits_.resend_after;
+  return !sent || now - *sent >= timeout_;
 }
 
+// A log that is slow or away gets fewer appends, not more.
 std::optional<std::string> claimer::NextAppend(millis now) {
-  if (in_flight_ && now - *last_append_ >= limits_.append_timeout) {
+  if (in_flight_ && now - *last_append_ >= timeout_) {
     in_flight_ = false;
+    timeout_ = std::min(timeout_ * 2, limits_.append_timeout_max);
   }
   const bool early =
       last_append_ && now - *last_append_ < limits_.append_interval;
   if (in_flight_ || early || !table_.ready()) {
     return std::nullopt;
   }
-  claim_batch batch{writer_, {}};
+  claim_batch batch{writer_, appends_ + 1, {}};
   for (auto& [submission, pending] : notes_) {
     if (batch.entries.size() < limits_.max_entries &&
         now >= pending.not_before && Due(pending.sent, now)) {
@@ -194,6 +224,7 @@
   if (batch.entries.empty()) {
     return std::nullopt;
   }
+  ++appends_;
   in_flight_ = true;
   last_append_ = now;
   return EncodeClaims(batch);
--- a/request/claimer.h
+++ b/request/claimer.h
@@ -20,10 +20,10 @@
 
 /// How a claimer writes to the log.
 struct claim_limits {
-  millis append_interval = millis(10);    ///< Between the starts of appends.
-  millis append_timeout = millis(2'000);  ///< Then an answer counts as lost.
-  millis resend_after = millis(500);      ///< When an entry was not read back.
-  millis release_delay = millis(500);     ///< From the reply to the release.
+  millis append_interval = millis(10);  ///< Between the starts of appends.
+  millis append_timeout = millis(100);  ///< Then an answer counts as lost.
+  millis append_timeout_max = millis(2'000);  ///< After several in a row.
+  millis release_delay = millis(500);   ///< From the reply to the release.
   millis running_for = millis(60'000);  ///< A claim may be in flight this long.
   size_t max_entries = 256;             ///< In one append.
   size_t max_waiting = 4'096;           ///< Submissions and notes.
@@ -113,6 +113,7 @@
   bool SettleOne(uint64_t submission, const waiting_claim& claim, millis now,
                  millis wall);
   void NoteLost(const std::vector<claim_id>& lost);
+  void NoteWritten(const std::vector<claim_id>& records);
   void ForgetWrittenNotes();
   [[nodiscard]] bool Written(const claim_entry& entry) const;
   std::optional<std::string> NextAppend(millis now);
@@ -126,6 +127,8 @@
   std::vector<claim_outcome> outcomes_;
   uint64_t submissions_ = 0;
   bool in_flight_ = false;
+  uint64_t appends_ = 0;
+  millis timeout_;  ///< Of the next append; doubles while none is read back.
   std::optional<millis> last_append_;
 };
 
--- a/tests/request/claims_test.cc
+++ b/tests/request/claims_test.cc
@@ -62,10 +62,10 @@
 
 TEST_CASE("records survive the codec and torn ones are void") {
   const bool held = rc::check("claims codec", [](uint64_t writer) {
-    claim_batch batch{writer, {}};
+    claim_batch batch{writer, 7, {}};
     const auto count = *rc::gen::inRange(0, 20);
     for (int i = 0; i < count; ++i) {
-      const auto kind = *rc::gen::inRange(0, 3);
+      const auto kind = *rc::gen::inRange(0, 4);
       batch.entries.push_back({static_cast<claim_kind>(kind), Key(i),
                                *rc::gen::arbitrary<uint64_t>(),
                                *rc::gen::inRange(0, 600),
@@ -75,6 +75,7 @@
     const auto decoded = DecodeClaims(data);
     RC_ASSERT(decoded.has_value());
     RC_ASSERT(decoded->writer == writer);
+    RC_ASSERT(decoded->number == batch.number);
     RC_ASSERT(decoded->entries.size() == batch.entries.size());
     for (size_t i = 0; i < batch.entries.size(); ++i) {
       RC_ASSERT(decoded->entries[i].kind == batch.entries[i].kind);
@@ -116,6 +117,20 @@
   CHECK(repeat[0].status == 201);
 }
 
+TEST_CASE("a repeat learns that the outcome is lost") {
+  SetBreachesFatal(true);
+  fake_log log;
+  driver a{claimer(1, {}), log};
+  driver b{claimer(2, {}), log};
+  const uint64_t first = a.Submit(Key(1), millis(0));
+  REQUIRE(a.Step(millis(0)).at(0).won);
+  a.who.Leave(first);
+  a.Step(millis(20));
+  b.Step(millis(30));
+  b.Submit(Key(1), millis(40));
+  CHECK(b.Step(millis(40)).at(0).why == reason::kKeyOutcomeUnknown);
+}
+
 TEST_CASE("a released key can be claimed again, an abandoned one cannot win") {
   SetBreachesFatal(true);
   fake_log log;
