--- a/tests/request/claims_test.cc
+++ b/tests/request/claims_test.cc
@@ -162,7 +162,8 @@
 TEST_CASE("a release is written only after its delay") {
   SetBreachesFatal(true);
   fake_log log;
-  const claim_limits limits;
+  claim_limits limits;
+  limits.release_delay = millis(300);
   driver a{claimer(1, {}, limits), log};
   const uint64_t first = a.Submit(Key(1), millis(0));
   REQUIRE(a.Step(millis(0)).at(0).won);
