Adapters for log, host list and the inner port; marks on inner connections

Cause: daemon and operators' command need the platform and each other. Change: HTTP/JSON adapters (coroutines, and blocking forms for the command); inner connections carry a nonce of their own, and every request a mark over it, so no state shared between connections is needed to refuse replays. Conclusion: the daemon can be built on these.

--- a/inner/headers.h
+++ b/inner/headers.h
@@ -17,6 +17,10 @@
 inline constexpr std::string_view kInnerSealHeader = "Inner-Seal";
 inline constexpr std::string_view kInnerCallHeader = "Inner-Call";
 
+/// Targets on the inner port: the connection's nonce, and JSON-RPC.
+inline constexpr std::string_view kHelloTarget = "/inner/hello";
+inline constexpr std::string_view kRpcTarget = "/rpc";
+
 /// Headers towards an upstream.
 inline constexpr std::string_view kAttemptHeader = "Request-Attempt";
 inline constexpr std::string_view kDeadlineHeader = "Request-Deadline-Ms";
--- /dev/null
+++ b/tests/platform/decode_test.cc
@@ -0,0 +1,53 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "core/error.h"
+#include "platform/base64.h"
+#include "platform/http_hosts.h"
+#include "platform/http_log.h"
+
+namespace peridotarch {
+namespace {
+
+TEST_CASE("base64 gives the published vectors and reads them back") {
+  const std::string vectors[][2] = {{"", ""},
+                                    {"f", "Zg=="},
+                                    {"fo", "Zm8="},
+                                    {"foo", "Zm9v"},
+                                    {"foob", "Zm9vYg=="}};
+  for (const auto& [bytes, text] : vectors) {
+    REQUIRE(ToBase64(bytes) == text);
+    REQUIRE(FromBase64(text) == bytes);
+  }
+  REQUIRE_THROWS_AS(FromBase64("Zg="), codec_error);
+  REQUIRE_THROWS_AS(FromBase64("Z?=="), codec_error);
+}
+
+TEST_CASE("a page of the log decodes, and a malformed one throws") {
+  const log_page page = DecodeLogPage(
+      R"({"first":3,"next":9,"records":[{"offset":8,"time":77,"data":"Zm9v"}]})");
+  REQUIRE(page.first == 3);
+  REQUIRE(page.next == 9);
+  REQUIRE(page.records.at(0).data == "foo");
+  REQUIRE(page.records.at(0).appended == millis(77));
+  for (const char* bad :
+       {"", "[]", R"({"first":1})",
+        R"({"first":1,"next":2,"records":[{"offset":"x"}]})"}) {
+    REQUIRE_THROWS_AS(DecodeLogPage(bad), codec_error);
+  }
+}
+
+TEST_CASE("a list of hosts decodes, and an unknown state throws") {
+  const std::string entry =
+      R"({"service":"s","id":"i","address":"127.0.0.1","port":80,)"
+      R"("zone":"z","incarnation":4,"state":")";
+  const auto list = [&](const std::string& state) {
+    return DecodeHostList(R"({"as_of":5,"hosts":[)" + entry + state + "\"}]}");
+  };
+  REQUIRE(list("leaving").hosts.at(0).state == host_state::kLeaving);
+  REQUIRE(list("live").hosts.at(0).incarnation == 4);
+  REQUIRE_THROWS_AS(list("gone"), codec_error);
+}
+
+}  // namespace
+}  // namespace peridotarch
