--- /dev/null
+++ b/cli/commands.cc
@@ -0,0 +1,10 @@
+#include "cli/command.h"
+
+namespace peridotarch {
+
+const std::vector<command>& Commands() {
+  static const std::vector<command> kTable = {};
+  return kTable;
+}
+
+}  // namespace peridotarch
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -1,1 +1,7 @@
-int main() { return 0; }
+#include <iostream>
+
+#include "cli/command.h"
+
+int main(int argc, char** argv) {
+  return peridotarch::RunCli(argc, argv, std::cout, std::cerr);
+}
