--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -3,8 +3,8 @@
 namespace peridotarch {
 
 const std::vector<command>& Commands() {
-  static const std::vector<command> kTable = {};
-  return kTable;
+  static const std::vector<command> table = {};
+  return table;
 }
 
 }  // namespace peridotarch
