--- a/config/rules.h
+++ b/config/rules.h
@@ -21,7 +21,7 @@
                                                              "false-ejections"};
 };
 
-/// `service NAME floor SLOTS slots SLOTS/instance weigh WEIGHT`
+/// `service NAME floor SLOTS slots/instance SLOTS weigh WEIGHT`
 struct service_rule {
   std::string name;
   int floor = 0;  ///< Healthy capacity that ejection must leave, in slots.
@@ -63,8 +63,11 @@
   int line = 0;
 };
 
-/// `isolation serve DURATION`: how long a node that hears neither log nor peers
-/// goes on serving.
+/// The `serve` of `isolation serve forever`.
+inline constexpr millis kServeForever(INT64_MAX);
+
+/// `isolation serve DURATION|forever`: how long a node that hears neither log
+/// nor peers goes on serving.
 struct isolation_rule {
   millis serve = millis(600'000);
   std::string asked_by;
