Request path of the daemon: entry, owner, upstream, peers (not yet started by main)

Cause: the decisions need a shell that moves requests. Change: sessions for callers and peers, one attempt at an upstream, shards run by their owner on one strand, keys claimed through the log. No functional change

--- /dev/null
+++ b/proxy/entry.cc
@@ -0,0 +1,149 @@
+#include "proxy/entry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "config/snapshot.h"
+#include "core/hash.h"
+#include "inner/forwarded_call.h"
+#include "inner/headers.h"
+#include "proxy/message.h"
+#include "proxy/node.h"
+#include "proxy/owner_shard.h"
+#include "proxy/peer.h"
+#include "request/request_key.h"
+#include "request/request_verdict.h"
+#include "request/shard_map.h"
+
+namespace peridotarch {
+
+namespace {
+
+// Owners that one request may be offered to.
+constexpr int kMaxOffers = 3;
+
+// Reasons on which another shard of the service may still take a request.
+bool IsFull(reason why) {
+  return why == reason::kQueueFull || why == reason::kOverloaded ||
+         why == reason::kNoCapacity;
+}
+
+// The less loaded of two shards picked by the request's id.
+int PickShard(const std::vector<shard_route>& shards, uint64_t random) {
+  const size_t count = shards.size();
+  const size_t first = random % count;
+  const size_t second = (first + 1 + (random >> 32) % (count - 1)) % count;
+  const int first_load = shards[first].load->load(std::memory_order_relaxed);
+  const int second_load = shards[second].load->load(std::memory_order_relaxed);
+  return static_cast<int>(second_load < first_load ? second : first);
+}
+
+int ChooseShard(const std::vector<shard_route>& shards,
+                const forwarded_call& call) {
+  const int count = static_cast<int>(shards.size());
+  if (count == 1) {
+    return 0;
+  }
+  if (!call.key.empty()) {
+    return ShardOfKey(call.key, count);
+  }
+  return PickShard(shards, Hash64(call.id));
+}
+
+awaitable<call_result> Offer(node& here, const std::shared_ptr<peer>& owner,
+                             forwarded_call call, http_request request) {
+  if (owner) {
+    co_return co_await owner->Forward(std::move(call), std::move(request));
+  }
+  const auto shard = here.owners.Get(call.service, call.shard);
+  co_return co_await shard->Run(std::move(call), std::move(request));
+}
+
+// Offers the request to owners while it is certain that none has run it, or
+// while running it again does no harm.
+awaitable<call_result> OfferToOwners(node& here, const route_rule& route,
+                                     forwarded_call call,
+                                     http_request request) {
+  const millis deadline = steady_clock::Now() + route.timeout;
+  verdict said = verdict::kNotRun;
+  call_result result = Refusal(reason::kOwnerUnreachable);
+  bool use_second = false;
+  for (int offer = 0; offer < kMaxOffers; ++offer) {
+    const auto fleet = here.fleet.Load();
+    const auto shards = fleet->services.find(call.service);
+    if (shards == fleet->services.end() || shards->second.empty()) {
+      co_return Refusal(reason::kNoCapacity);
+    }
+    const int count = static_cast<int>(shards->second.size());
+    call.shard = std::min(call.shard, count - 1);
+    const shard_route& to = shards->second[static_cast<size_t>(call.shard)];
+    if (!to.has_owner || (use_second && !to.has_second)) {
+      break;
+    }
+    call.left = deadline - steady_clock::Now();
+    if (call.left <= millis(0)) {
+      result = Refusal(reason::kDeadlineExpired);
+      break;
+    }
+    result = co_await Offer(here, use_second ? to.second : to.owner, call,
+                            request);
+    said = Combine(said, result.said);
+    if (result.why == reason::kOwnerUnreachable ||
+        (result.why == reason::kOwnerLost && call.idempotent)) {
+      use_second = !use_second;
+      continue;
+    }
+    if (result.said == verdict::kNotRun && IsFull(result.why) && count > 1 &&
+        call.key.empty()) {
+      call.shard = (call.shard + 1) % count;
+      use_second = false;
+      continue;
+    }
+    break;
+  }
+  if (result.why != reason::kAnswered) {
+    result.said = said;
+  }
+  co_return result;
+}
+
+}  // namespace
+
+awaitable<call_result> RunRequest(node& here, http_request request) {
+  // One snapshot serves the whole request, whatever is published meanwhile.
+  const auto config = here.config.Load();
+  if (!config) {
+    co_return Refusal(reason::kNotConfigured);
+  }
+  if (here.isolated.load(std::memory_order_relaxed)) {
+    co_return Refusal(reason::kIsolated);
+  }
+  const route_rule* route =
+      config->routes.Match(request.method_string(), request.target());
+  if (route == nullptr) {
+    co_return Refusal(reason::kNoRoute);
+  }
+  forwarded_call call;
+  call.service = route->service;
+  call.idempotent = route->idempotent;
+  call.retries = route->retries;
+  call.zone = here.settings.zone;
+  call.id = NextRequestId(here);
+  call.route = route->method + " " + route->pattern;
+  if (!route->idempotent) {
+    call.key = std::string(request[kKeyHeader]);
+    if (!call.key.empty() && !ParseRequestKey(call.service, call.key)) {
+      co_return Refusal(reason::kKeyMalformed);
+    }
+  }
+  const auto fleet = here.fleet.Load();
+  const auto shards = fleet->services.find(call.service);
+  if (shards != fleet->services.end() && !shards->second.empty()) {
+    call.shard = ChooseShard(shards->second, call);
+  }
+  StripForForwarding(request);
+  co_return co_await OfferToOwners(here, *route, std::move(call),
+                                   std::move(request));
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/proxy/http_session.cc
@@ -0,0 +1,129 @@
+#include "proxy/http_session.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <utility>
+
+#include "proxy/message.h"
+
+namespace peridotarch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr millis kRequestTimeout(15'000);  // from its first byte to its last
+constexpr millis kWriteTimeout(15'000);
+constexpr int kHttp11 = 11;
+
+read_outcome Refused(reason why) {
+  read_outcome outcome;
+  outcome.refused = why;
+  return outcome;
+}
+
+// A connection that ends or breaks gets no answer; a malformed request does.
+read_outcome OutcomeOf(const error_code& failure) {
+  if (failure == http::error::header_limit) {
+    return Refused(reason::kHeadersTooLarge);
+  }
+  if (failure == http::error::body_limit) {
+    return Refused(reason::kTooLarge);
+  }
+  if (failure == beast::error::timeout) {
+    return Refused(reason::kRequestTimeout);
+  }
+  if (failure == http::error::end_of_stream ||
+      failure == http::error::partial_message ||
+      failure.category() != http::make_error_code(http::error{}).category()) {
+    return {};
+  }
+  return Refused(reason::kBadRequest);
+}
+
+std::chrono::milliseconds ToChrono(millis span) {
+  return std::chrono::milliseconds(span.count());
+}
+
+}  // namespace
+
+http_session::http_session(beast::tcp_stream stream)
+    : stream_(std::move(stream)) {}
+
+awaitable<read_outcome> http_session::Read(millis idle) {
+  error_code failure;
+  if (buffer_.size() == 0) {
+    stream_.expires_after(ToChrono(idle));
+    const size_t got = co_await stream_.async_read_some(
+        buffer_.prepare(kMaxHeaderBytes),
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return read_outcome{};
+    }
+    buffer_.commit(got);
+  }
+  stream_.expires_after(ToChrono(kRequestTimeout));
+  http::request_parser<http::empty_body> head;
+  head.header_limit(kMaxHeaderBytes);
+  head.body_limit(kMaxBodyBytes);
+  co_await http::async_read_header(
+      stream_, buffer_, head,
+      asio::redirect_error(asio::use_awaitable, failure));
+  if (failure) {
+    co_return OutcomeOf(failure);
+  }
+  if (const auto why = CheckHead(head.get())) {
+    co_return Refused(*why);
+  }
+  co_return co_await ReadBody(head);
+}
+
+awaitable<read_outcome> http_session::ReadBody(
+    http::request_parser<http::empty_body>& head) {
+  error_code failure;
+  if (beast::iequals(head.get()[http::field::expect], "100-continue")) {
+    http::response<http::empty_body> go_on(http::status::continue_, kHttp11);
+    co_await http::async_write(
+        stream_, go_on, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      co_return read_outcome{};
+    }
+  }
+  http::request_parser<http::string_body> whole(std::move(head));
+  whole.body_limit(kMaxBodyBytes);
+  co_await http::async_read(
+      stream_, buffer_, whole,
+      asio::redirect_error(asio::use_awaitable, failure));
+  if (failure) {
+    co_return OutcomeOf(failure);
+  }
+  read_outcome outcome;
+  outcome.request = whole.release();
+  outcome.request->erase(http::field::expect);
+  co_return outcome;
+}
+
+awaitable<bool> http_session::Write(http_response reply, bool keep_alive) {
+  reply.keep_alive(keep_alive);
+  stream_.expires_after(ToChrono(kWriteTimeout));
+  error_code failure;
+  co_await http::async_write(
+      stream_, reply, asio::redirect_error(asio::use_awaitable, failure));
+  co_return !failure && keep_alive;
+}
+
+void http_session::Close() {
+  error_code ignored;
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  stream_.close();
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/proxy/http_session.h
@@ -0,0 +1,48 @@
+#ifndef PROXY_HTTP_SESSION_H_
+#define PROXY_HTTP_SESSION_H_
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <optional>
+
+#include "core/millis.h"
+#include "platform/awaitable.h"
+#include "platform/http_client.h"
+#include "proxy/call.h"
+
+namespace peridotarch {
+
+/// What reading one request from a connection gave.
+struct read_outcome {
+  std::optional<http_request> request;  ///< A whole request.
+  std::optional<reason> refused;        ///< Answer this, then close.
+                                        ///< Neither: close without an answer.
+};
+
+/// One accepted HTTP/1.1 connection.
+class http_session {
+ public:
+  explicit http_session(boost::beast::tcp_stream stream);
+
+  /// Reads a request. Waits up to `idle` for its first byte.
+  awaitable<read_outcome> Read(millis idle);
+
+  /// Writes a reply; returns false when the connection is of no more use.
+  awaitable<bool> Write(http_response reply, bool keep_alive);
+
+  /// Closes the connection in order.
+  void Close();
+
+  [[nodiscard]] boost::beast::tcp_stream& stream() { return stream_; }
+
+ private:
+  awaitable<read_outcome> ReadBody(
+      boost::beast::http::request_parser<boost::beast::http::empty_body>& head);
+
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+};
+
+}  // namespace peridotarch
+
+#endif  // PROXY_HTTP_SESSION_H_
--- /dev/null
+++ b/proxy/message.cc
@@ -0,0 +1,151 @@
+#include "proxy/message.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "inner/headers.h"
+
+namespace peridotarch {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kHttp11 = 11;
+constexpr int64_t kMillisPerSecond = 1000;
+constexpr std::string_view kKeyStatusHeader = "Request-Key-Status";
+
+constexpr std::array<std::string_view, 8> kHopHeaders = {
+    "Connection", "Keep-Alive", "Proxy-Connection", "TE",
+    "Trailer",    "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization"};
+
+constexpr std::array<std::string_view, 8> kFleetHeaders = {
+    kInnerSealHeader, kInnerCallHeader, kAttemptHeader,  kDeadlineHeader,
+    kVerdictHeader,   kReasonHeader,    kKeyStatusHeader, kNotStartedHeader};
+
+size_t CountOf(const http::fields& headers, std::string_view name) {
+  return headers.count(name);
+}
+
+// Control characters in a value are how one header line smuggles a second.
+bool HasControl(std::string_view value) {
+  return std::any_of(value.begin(), value.end(), [](unsigned char c) {
+    return (c < 0x20 && c != '\t') || c == 0x7f;
+  });
+}
+
+bool IsOriginForm(std::string_view target) {
+  return target.starts_with('/') &&
+         std::none_of(target.begin(), target.end(),
+                      [](unsigned char c) { return c <= 0x20 || c == 0x7f; });
+}
+
+int64_t ToWholeSeconds(millis span) {
+  return std::max<int64_t>(
+      1, (span.count() + kMillisPerSecond - 1) / kMillisPerSecond);
+}
+
+}  // namespace
+
+call_result Refusal(reason why, millis retry_after) {
+  call_result result;
+  result.why = why;
+  result.said = ReplyFor(why).said;
+  result.retry_after = retry_after;
+  return result;
+}
+
+std::optional<reason> CheckHead(const http::request_header<>& head) {
+  if (head.method() == http::verb::connect ||
+      head.method() == http::verb::unknown || !IsOriginForm(head.target())) {
+    return reason::kBadRequest;
+  }
+  if (CountOf(head, "Host") != 1 || CountOf(head, "Content-Length") > 1 ||
+      CountOf(head, "Transfer-Encoding") > 1 ||
+      CountOf(head, kKeyHeader) > 1 || CountOf(head, kTeamHeader) > 1) {
+    return reason::kBadRequest;
+  }
+  const bool has_length = CountOf(head, "Content-Length") == 1;
+  const bool has_coding = CountOf(head, "Transfer-Encoding") == 1;
+  if (has_length && has_coding) {
+    return reason::kBadRequest;
+  }
+  if (has_coding &&
+      !boost::beast::iequals(head[http::field::transfer_encoding], "chunked")) {
+    return reason::kBadRequest;
+  }
+  for (const auto& field : head) {
+    if (HasControl(field.value())) {
+      return reason::kBadRequest;
+    }
+  }
+  return std::nullopt;
+}
+
+void StripHopHeaders(http::fields& headers) {
+  std::vector<std::string> named;
+  for (const auto& token : http::token_list(headers[http::field::connection])) {
+    named.emplace_back(token);
+  }
+  for (const auto& name : named) {
+    headers.erase(name);
+  }
+  for (const auto& name : kHopHeaders) {
+    headers.erase(name);
+  }
+}
+
+void StripForForwarding(http::fields& headers) {
+  StripHopHeaders(headers);
+  for (const auto& name : kFleetHeaders) {
+    headers.erase(name);
+  }
+}
+
+http_response ToReply(call_result result) {
+  const reply_rule rule = ReplyFor(result.why);
+  http_response reply;
+  if (result.why == reason::kAnswered) {
+    reply = std::move(result.answer);
+  } else {
+    reply.version(kHttp11);
+    reply.result(rule.status);
+    reply.set(http::field::content_type, "application/json");
+    reply.body() = nlohmann::json{{"reason", ToName(result.why)},
+                                  {"verdict", ToName(result.said)}}
+                       .dump();
+    reply.prepare_payload();
+  }
+  reply.set(kVerdictHeader, ToName(result.said));
+  reply.set(kReasonHeader, ToName(result.why));
+  if (rule.retry_after) {
+    reply.set(http::field::retry_after,
+              std::to_string(ToWholeSeconds(result.retry_after)));
+  }
+  if (result.key_status != 0) {
+    reply.set(kKeyStatusHeader, std::to_string(result.key_status));
+  }
+  return reply;
+}
+
+call_result FromReply(http_response reply) {
+  call_result result;
+  const auto why = FromName<reason>(reply[kReasonHeader]);
+  const auto said = FromName<verdict>(reply[kVerdictHeader]);
+  if (!why || !said) {
+    return Refusal(reason::kOwnerLost);
+  }
+  result.why = *why;
+  result.said = *said;
+  const std::string seconds(reply[http::field::retry_after]);
+  result.retry_after =
+      millis(std::atoll(seconds.c_str()) * kMillisPerSecond);
+  result.key_status = std::atoi(std::string(reply[kKeyStatusHeader]).c_str());
+  result.answer = std::move(reply);
+  return result;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/proxy/message.h
@@ -0,0 +1,39 @@
+#ifndef PROXY_MESSAGE_H_
+#define PROXY_MESSAGE_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "platform/http_client.h"
+#include "proxy/call.h"
+
+namespace peridotarch {
+
+/// Largest header section that is read, in bytes.
+inline constexpr uint32_t kMaxHeaderBytes = 16 << 10;
+
+/// Largest body that is read, in bytes.
+inline constexpr uint64_t kMaxBodyBytes = 1 << 20;
+
+/// Returns why a request's head is refused, or nothing when it is sound:
+/// exactly one host, at most one length, no folding, an origin-form target.
+std::optional<reason> CheckHead(
+    const boost::beast::http::request_header<>& head);
+
+/// Removes headers that concern one connection only.
+void StripHopHeaders(boost::beast::http::fields& headers);
+
+/// Removes those, and headers that only the fleet itself may set.
+void StripForForwarding(boost::beast::http::fields& headers);
+
+/// Returns the reply to a caller for a result.
+http_response ToReply(call_result result);
+
+/// Writes verdict and reason of a result into the headers of its reply, and
+/// reads them back; the text form between the owner and the entry node.
+call_result FromReply(http_response reply);
+
+}  // namespace peridotarch
+
+#endif  // PROXY_MESSAGE_H_
--- /dev/null
+++ b/proxy/owner_shard.cc
@@ -0,0 +1,298 @@
+#include "proxy/owner_shard.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "config/snapshot.h"
+#include "core/invariant.h"
+#include "inner/headers.h"
+#include "proxy/claim_log.h"
+#include "proxy/node.h"
+#include "proxy/upstream_link.h"
+#include "request/attempt.h"
+#include "request/request_key.h"
+#include "request/request_verdict.h"
+#include "request/retry.h"
+#include "request/shard_map.h"
+
+namespace peridotarch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr millis kTick(20);
+constexpr millis kCancelTimeout(100);
+// A run that the owner gave up keeps its slot for this long, unless the
+// instance said that it ended.
+constexpr millis kDetachedRun(1000);
+
+}  // namespace
+
+owner_shard::owner_shard(node& parent, std::string service, int index)
+    : node_(parent),
+      strand_(asio::make_strand(parent.context)),
+      service_(std::move(service)),
+      index_(index) {}
+
+owner_shard::~owner_shard() = default;
+
+void owner_shard::Start() {
+  SetHosts(node_.hosts.Load(), node_.config.Load());
+  asio::co_spawn(
+      strand_, [self = shared_from_this()] { return self->TickRegularly(); },
+      asio::detached);
+}
+
+awaitable<call_result> owner_shard::Run(forwarded_call call,
+                                        http_request request) {
+  auto here = RunHere(std::move(call), std::move(request));
+  co_return co_await asio::co_spawn(strand_, std::move(here),
+                                    asio::use_awaitable);
+}
+
+void owner_shard::SetHosts(std::shared_ptr<const host_list> hosts,
+                           std::shared_ptr<const config_snapshot> config) {
+  if (!hosts || !config) {
+    return;
+  }
+  asio::post(strand_, [self = shared_from_this(), hosts = std::move(hosts),
+                       config = std::move(config)] {
+    self->ApplyHosts(*hosts, *config);
+  });
+}
+
+awaitable<call_result> owner_shard::RunHere(forwarded_call call,
+                                            http_request request) {
+  run now;
+  now.deadline = steady_clock::Now() + call.left;
+  now.call = std::move(call);
+  now.request = std::move(request);
+  budget_.NoteRequest();
+  if (!now.call.key.empty()) {
+    co_return co_await RunKeyed(now);
+  }
+  co_return co_await RunAttempts(now, 0);
+}
+
+// The key is won in the log before a slot is asked for, so that no slot waits
+// for the log.
+awaitable<call_result> owner_shard::RunKeyed(run& now) {
+  const auto key = ParseRequestKey(service_, now.call.key);
+  if (!key) {
+    co_return Refusal(reason::kKeyMalformed);
+  }
+  if (!claims_) {
+    claims_ = node_.owners.Claims(service_);
+  }
+  const millis left = now.deadline - steady_clock::Now();
+  const claim_outcome claim = co_await claims_->Claim(*key, left);
+  if (!claim.won) {
+    call_result refused = Refusal(claim.why);
+    refused.key_status = claim.status;
+    co_return refused;
+  }
+  call_result result = co_await RunAttempts(now, claim.submission);
+  switch (result.said) {
+    case verdict::kNotRun:
+      claims_->Release(claim.submission);
+      break;
+    case verdict::kRan:
+      claims_->Complete(claim.submission,
+                        static_cast<int>(result.answer.result_int()));
+      break;
+    case verdict::kMayHaveRun:
+      claims_->Leave(claim.submission);
+      break;
+  }
+  co_return result;
+}
+
+awaitable<call_result> owner_shard::RunAttempts(run& now, uint64_t submission) {
+  for (;;) {
+    const ticket id = next_ticket_++;
+    const shard_action slot = co_await WaitForSlot(id, now);
+    if (slot.act == shard_action::action::kRefuse) {
+      // After an attempt, its own reason says more than the lack of a slot.
+      const reason why = now.attempts == 0 ? slot.why : now.latest;
+      call_result refused = Refusal(why, slot.retry_after);
+      refused.said = now.attempts_said;
+      co_return refused;
+    }
+    if (submission != 0 && !co_await claims_->Holds(submission)) {
+      scheduler_.Release(id, steady_clock::Now());
+      Pump();
+      call_result lost = Refusal(reason::kKeyOutcomeUnknown);
+      lost.said = Combine(now.attempts_said, lost.said);
+      co_return lost;
+    }
+    attempt_result attempt = co_await Attempt(now, slot.instance);
+    const verdict said = JudgeAttempt(attempt.end);
+    now.attempts_said = Combine(now.attempts_said, said);
+    now.latest = ReasonOf(attempt.end);
+    now.failed_at = slot.instance;
+    if (now.latest == reason::kUpstreamTimeout &&
+        attempt.end.cancel != cancel_answer::kNotStarted &&
+        attempt.end.cancel != cancel_answer::kFinished) {
+      scheduler_.ReleaseAt(id, steady_clock::Now() + kDetachedRun);
+    } else {
+      scheduler_.Release(id, steady_clock::Now());
+    }
+    if (attempt.end.shed) {
+      ++now.sheds;
+      scheduler_.NoteShed(slot.instance, steady_clock::Now());
+    }
+    NoteEnd(slot.instance, attempt);
+    Pump();
+    if (now.latest == reason::kAnswered) {
+      call_result answered;
+      answered.said = verdict::kRan;
+      answered.answer = std::move(attempt.answer);
+      co_return answered;
+    }
+    if (!MayRetry(now)) {
+      call_result failed = Refusal(now.latest);
+      failed.said = now.attempts_said;
+      co_return failed;
+    }
+    node_.measures.retries.Add();
+  }
+}
+
+awaitable<shard_action> owner_shard::WaitForSlot(ticket id, const run& now) {
+  call_info info;
+  info.deadline = now.deadline;
+  info.zone = now.call.zone;
+  info.idempotent = now.call.idempotent;
+  info.exclude = now.failed_at;
+  wait_cell<shard_action> cell(strand_);
+  waiting_[id] = &cell;
+  scheduler_.Admit(id, info, steady_clock::Now());
+  Pump();
+  co_return co_await cell.Wait();
+}
+
+awaitable<attempt_result> owner_shard::Attempt(run& now,
+                                               const std::string& instance) {
+  ++now.attempts;
+  node_.measures.attempts.Add();
+  const auto link = links_.at(instance);
+  const millis left = now.deadline - steady_clock::Now();
+  const std::string id = now.call.id + "." + std::to_string(now.attempts);
+  now.request.set(kAttemptHeader, id);
+  now.request.set(kDeadlineHeader, std::to_string(left.count()));
+  const auto begun = std::chrono::steady_clock::now();
+  attempt_result result =
+      co_await link->Send(now.request, std::max(left, millis(1)));
+  const auto spent = std::chrono::steady_clock::now() - begun;
+  if (result.end.ended == attempt_ending::kAnswered) {
+    node_.measures.upstream_time.Record(static_cast<uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(spent).count()));
+  }
+  if (result.end.ended == attempt_ending::kTimeout) {
+    co_await CancelLate(*link, id, result);
+  }
+  co_return result;
+}
+
+// An acknowledged cancellation before the start turns a timeout into not_run.
+awaitable<void> owner_shard::CancelLate(upstream_link& link,
+                                        const std::string& attempt,
+                                        attempt_result& result) {
+  if (result.end.written == written_part::kNothing) {
+    co_return;
+  }
+  result.end.cancel = co_await link.Cancel(attempt, kCancelTimeout);
+}
+
+void owner_shard::NoteEnd(const std::string& instance,
+                          const attempt_result& result) {
+  if (!result.draining) {
+    return;
+  }
+  const auto known = instances_.find(instance);
+  if (known != instances_.end()) {
+    known->second.state = instance_state::kLeaving;
+    ApplyInstances();
+  }
+}
+
+bool owner_shard::MayRetry(const run& now) {
+  retry_case known;
+  known.attempts = now.attempts_said;
+  known.idempotent = now.call.idempotent;
+  known.retries_made = now.attempts - 1;
+  known.retries_allowed = now.call.retries;
+  known.time_left = now.deadline - steady_clock::Now();
+  known.shed_everywhere = now.sheds >= static_cast<int>(instances_.size());
+  return DecideRetry(known, budget_) == retry_decision::kRetry;
+}
+
+void owner_shard::Pump() {
+  for (const shard_action& action : scheduler_.Tick(steady_clock::Now())) {
+    const auto waiter = waiting_.find(action.id);
+    if (waiter == waiting_.end()) {
+      continue;
+    }
+    waiter->second->Set(action);
+    waiting_.erase(waiter);
+  }
+}
+
+awaitable<void> owner_shard::TickRegularly() {
+  for (;;) {
+    co_await Sleep(strand_, kTick);
+    Pump();
+  }
+}
+
+void owner_shard::ApplyHosts(const host_list& hosts,
+                             const config_snapshot& config) {
+  const service_rule* rule = config.Service(service_);
+  if (rule == nullptr) {
+    return;
+  }
+  const int count = ShardCount(rule->floor);
+  std::map<std::string, instance_view> next;
+  for (const host& entry : hosts.hosts) {
+    if (entry.service != service_ ||
+        ShardOfInstance(service_, entry.id, count) != index_) {
+      continue;
+    }
+    auto& link = links_[entry.id];
+    if (!link || link->where().incarnation != entry.incarnation ||
+        link->where().port != entry.port ||
+        link->where().address != entry.address) {
+      link = std::make_shared<upstream_link>(strand_, entry);
+    }
+    instance_view view{entry.id, entry.zone, rule->slots_per_instance};
+    const auto known = instances_.find(entry.id);
+    if (known != instances_.end()) {
+      view.state = known->second.state;
+    }
+    if (entry.state == host_state::kLeaving) {
+      view.state = instance_state::kLeaving;
+    }
+    next.emplace(entry.id, std::move(view));
+  }
+  instances_ = std::move(next);
+  std::erase_if(links_, [&](const auto& link) {
+    return !instances_.contains(link.first);
+  });
+  ApplyInstances();
+}
+
+void owner_shard::ApplyInstances() {
+  std::vector<instance_view> views;
+  views.reserve(instances_.size());
+  for (const auto& [id, view] : instances_) {
+    views.push_back(view);
+  }
+  scheduler_.SetInstances(views, steady_clock::Now());
+  Pump();
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/proxy/peer.h
@@ -0,0 +1,53 @@
+#ifndef PROXY_PEER_H_
+#define PROXY_PEER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "core/millis.h"
+#include "inner/forwarded_call.h"
+#include "platform/awaitable.h"
+#include "platform/endpoint.h"
+#include "platform/inner_client.h"
+#include "proxy/call.h"
+#include "proxy/executor.h"
+
+namespace peridotarch {
+
+/// Another proxy, with the idle connections to its inner port. Safe on any
+/// thread; its lock is held only while a connection is taken or put back.
+class peer {
+ public:
+  peer(boost::asio::io_context& context, std::string id, endpoint inner,
+       std::string fleet_key);
+  ~peer();
+
+  /// Forwards a request to this node as the owner of the call's shard.
+  awaitable<call_result> Forward(forwarded_call call, http_request request);
+
+  /// Sends one JSON-RPC request; throws platform_error.
+  awaitable<std::string> CallRpc(std::string json, millis timeout);
+
+  [[nodiscard]] const std::string& id() const { return id_; }
+  [[nodiscard]] const endpoint& inner() const { return inner_; }
+
+ private:
+  struct link;
+
+  std::shared_ptr<link> Take();
+  void PutBack(std::shared_ptr<link> used);
+
+  boost::asio::io_context& context_;
+  const std::string id_;
+  const endpoint inner_;
+  const std::string fleet_key_;
+  std::mutex mutex_;
+  std::vector<std::shared_ptr<link>> idle_;
+};
+
+}  // namespace peridotarch
+
+#endif  // PROXY_PEER_H_
--- /dev/null
+++ b/proxy/peer_session.cc
@@ -0,0 +1,105 @@
+#include "proxy/peer_session.h"
+
+#include <utility>
+
+#include "core/error.h"
+#include "core/hash.h"
+#include "inner/channel.h"
+#include "inner/forwarded_call.h"
+#include "inner/headers.h"
+#include "inner/rpc/server.h"
+#include "proxy/http_session.h"
+#include "proxy/message.h"
+#include "proxy/node.h"
+#include "proxy/owner_shard.h"
+
+namespace peridotarch {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr millis kIdle(300'000);
+constexpr int kHttp11 = 11;
+
+http_response TextReply(http::status status, std::string text) {
+  http_response reply(status, kHttp11);
+  reply.body() = std::move(text);
+  reply.prepare_payload();
+  return reply;
+}
+
+bool HasMark(channel& from, const http_request& request) {
+  const std::string covered =
+      CoveredText(request.method_string(), request.target(),
+                  request[kInnerCallHeader], ToHex(Sha256(request.body())));
+  return from.Verify(request[kInnerSealHeader], covered);
+}
+
+awaitable<http_response> RunForwarded(node& here, http_request request) {
+  forwarded_call call;
+  try {
+    call = DecodeForwardedCall(request[kInnerCallHeader]);
+  } catch (const codec_error&) {
+    co_return ToReply(Refusal(reason::kBadRequest));
+  }
+  StripForForwarding(request);
+  const auto shard = here.owners.Get(call.service, call.shard);
+  call_result result = co_await shard->Run(std::move(call), std::move(request));
+  co_return ToReply(std::move(result));
+}
+
+awaitable<http_response> AnswerPeer(node& here, rpc_server& rpc,
+                                    http_request request) {
+  if (request.target() == kRpcTarget &&
+      request[kInnerCallHeader].empty()) {
+    co_return TextReply(http::status::ok, rpc.Handle(request.body()));
+  }
+  co_return co_await RunForwarded(here, std::move(request));
+}
+
+}  // namespace
+
+awaitable<void> ServePeer(std::shared_ptr<node> here,
+                          std::shared_ptr<rpc_server> rpc,
+                          boost::beast::tcp_stream stream) {
+  http_session session(std::move(stream));
+  const std::string nonce = MakeNonce();
+  channel marks(here->settings.fleet_key, nonce);
+  for (;;) {
+    read_outcome read = co_await session.Read(kIdle);
+    if (!read.request) {
+      break;
+    }
+    const std::string target(read.request->target());
+    if (target == kHelloTarget) {
+      if (!co_await session.Write(TextReply(http::status::ok, nonce), true)) {
+        break;
+      }
+      continue;
+    }
+    if (target == "/metrics") {
+      auto text = TextReply(http::status::ok, here->registry.ToText());
+      if (!co_await session.Write(std::move(text), true)) {
+        break;
+      }
+      continue;
+    }
+    if (!HasMark(marks, *read.request)) {
+      here->measures.inner_refused.Add();
+      co_await session.Write(TextReply(http::status::forbidden, ""), false);
+      break;
+    }
+    here->in_flight.fetch_add(1);
+    http_response reply =
+        co_await AnswerPeer(*here, *rpc, std::move(*read.request));
+    const bool more = co_await session.Write(std::move(reply), true);
+    here->in_flight.fetch_sub(1);
+    if (!more) {
+      break;
+    }
+  }
+  session.Close();
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/proxy/peer_session.h
@@ -0,0 +1,22 @@
+#ifndef PROXY_PEER_SESSION_H_
+#define PROXY_PEER_SESSION_H_
+
+#include <boost/beast/core/tcp_stream.hpp>
+#include <memory>
+
+#include "platform/awaitable.h"
+
+namespace peridotarch {
+
+class rpc_server;
+struct node;
+
+/// Serves one connection to the inner port: forwarded requests and JSON-RPC
+/// with marks, the metrics without.
+awaitable<void> ServePeer(std::shared_ptr<node> here,
+                          std::shared_ptr<rpc_server> rpc,
+                          boost::beast::tcp_stream stream);
+
+}  // namespace peridotarch
+
+#endif  // PROXY_PEER_SESSION_H_
--- /dev/null
+++ b/proxy/upstream_link.cc
@@ -0,0 +1,189 @@
+#include "proxy/upstream_link.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "core/error.h"
+#include "inner/headers.h"
+#include "platform/quiet.h"
+#include "proxy/message.h"
+
+namespace peridotarch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr millis kConnectTimeout(1000);
+constexpr size_t kMaxIdleConnections = 64;
+constexpr int kHttp11 = 11;
+constexpr int kInformational = 1;  // 1xx
+
+using answer_parser = http::response_parser<http::string_body>;
+
+attempt_ending EndingOf(const error_code& failure) {
+  if (failure == beast::error::timeout) {
+    return attempt_ending::kTimeout;
+  }
+  if (failure == http::error::end_of_stream ||
+      failure == http::error::partial_message || failure == asio::error::eof) {
+    return attempt_ending::kClosed;
+  }
+  if (failure.category() == http::make_error_code(http::error{}).category()) {
+    return attempt_ending::kMalformed;
+  }
+  return attempt_ending::kReset;
+}
+
+// An answer that only the end of the connection delimits cannot be told from
+// one that was cut, so it does not count as whole.
+bool HasKnownLength(const answer_parser& parser) {
+  return parser.chunked() || parser.content_length().has_value() ||
+         !parser.need_eof();
+}
+
+}  // namespace
+
+struct upstream_link::connection {
+  explicit connection(const asio::any_io_executor& strand) : stream(strand) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+upstream_link::upstream_link(asio::any_io_executor strand, host where)
+    : strand_(std::move(strand)), where_(std::move(where)) {}
+
+upstream_link::~upstream_link() = default;
+
+std::unique_ptr<upstream_link::connection> upstream_link::TakeIdle() {
+  while (!idle_.empty()) {
+    auto taken = std::move(idle_.back());
+    idle_.pop_back();
+    if (IsQuiet(taken->stream.socket().native_handle())) {
+      return taken;
+    }
+  }
+  return nullptr;
+}
+
+awaitable<bool> upstream_link::Connect(connection& fresh, millis timeout) {
+  const asio::ip::tcp::endpoint remote(asio::ip::make_address(where_.address),
+                                       where_.port);
+  const millis limit = std::min(timeout, kConnectTimeout);
+  fresh.stream.expires_after(std::chrono::milliseconds(limit.count()));
+  error_code failure;
+  co_await fresh.stream.async_connect(
+      remote, asio::redirect_error(asio::use_awaitable, failure));
+  if (!failure) {
+    fresh.stream.socket().set_option(asio::ip::tcp::no_delay(true), failure);
+  }
+  co_return !failure;
+}
+
+awaitable<attempt_result> upstream_link::Send(const http_request& request,
+                                              millis timeout) {
+  attempt_result result;
+  const auto until = std::chrono::steady_clock::now() +
+                     std::chrono::milliseconds(timeout.count());
+  auto used = TakeIdle();
+  if (!used) {
+    used = std::make_unique<connection>(strand_);
+    if (!co_await Connect(*used, timeout)) {
+      result.end.ended = attempt_ending::kRefused;
+      co_return result;
+    }
+  }
+  used->stream.expires_at(until);
+  error_code failure;
+  result.end.written = written_part::kPart;
+  co_await http::async_write(used->stream, request,
+                             asio::redirect_error(asio::use_awaitable, failure));
+  if (failure) {
+    result.end.ended = EndingOf(failure);
+    co_return result;
+  }
+  result.end.written = written_part::kAll;
+  std::optional<answer_parser> parser;
+  do {
+    parser.emplace();
+    parser->body_limit(kMaxBodyBytes);
+    parser->header_limit(kMaxHeaderBytes);
+    parser->skip(request.method() == http::verb::head);
+    co_await http::async_read_header(
+        used->stream, used->buffer, *parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+  } while (!failure && parser->get().result_int() / 100 == kInformational);
+  if (!failure) {
+    result.end.read = read_part::kPart;
+    if (!HasKnownLength(*parser)) {
+      result.end.ended = attempt_ending::kMalformed;
+      co_return result;
+    }
+    co_await http::async_read(
+        used->stream, used->buffer, *parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+  }
+  if (failure) {
+    result.end.ended = EndingOf(failure);
+    co_return result;
+  }
+  result.end.read = read_part::kWhole;
+  result.end.ended = attempt_ending::kAnswered;
+  result.answer = parser->release();
+  result.end.shed = result.answer.count(kNotStartedHeader) != 0 &&
+                    result.answer.result() == http::status::service_unavailable;
+  result.draining = result.answer.count(kDrainingHeader) != 0;
+  if (result.answer.keep_alive() && used->buffer.size() == 0 &&
+      idle_.size() < kMaxIdleConnections) {
+    used->stream.expires_never();
+    idle_.push_back(std::move(used));
+  }
+  co_return result;
+}
+
+awaitable<cancel_answer> upstream_link::Cancel(std::string attempt,
+                                               millis timeout) {
+  http_client client(strand_, {where_.address, where_.port});
+  http_request request(http::verb::post, "/_cancel/" + attempt, kHttp11);
+  try {
+    const http_response answer =
+        co_await client.Exchange(std::move(request), timeout);
+    const auto state = FromName<cancel_answer>(nlohmann::json::parse(answer.body())
+                                                   .at("state")
+                                                   .get<std::string>());
+    co_return state.value_or(cancel_answer::kUnknown);
+  } catch (const platform_error&) {
+    co_return cancel_answer::kNone;
+  } catch (const nlohmann::json::exception&) {
+    co_return cancel_answer::kNone;
+  }
+}
+
+awaitable<bool> upstream_link::Probe(millis timeout) {
+  http_client client(strand_, {where_.address, where_.port});
+  http_request request(http::verb::get, "/_health", kHttp11);
+  try {
+    const http_response answer =
+        co_await client.Exchange(std::move(request), timeout);
+    co_return answer.result() == http::status::ok;
+  } catch (const platform_error&) {
+    co_return false;
+  }
+}
+
+}  // namespace peridotarch
