--- a/inner/forwarded_call.h
+++ b/inner/forwarded_call.h
@@ -14,11 +14,11 @@
   std::string service;
   int shard = 0;
   bool idempotent = false;
-  int retries = 0;   ///< Attempts allowed beyond the first.
-  std::string key;   ///< Of a keyed non-idempotent request, else empty.
-  millis left;       ///< Time left until the caller's deadline.
-  std::string zone;  ///< The entry node's availability zone.
-  std::string id;    ///< Unique; the attempts' ids begin with it.
+  int retries = 0;    ///< Attempts allowed beyond the first.
+  std::string key;    ///< Of a keyed non-idempotent request, else empty.
+  millis left;        ///< Time left until the caller's deadline.
+  std::string zone;   ///< The entry node's availability zone.
+  std::string id;     ///< Unique; the attempts' ids begin with it.
   std::string route;  ///< Method and pattern of the route.
 };
 
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -70,8 +70,8 @@
     http_response reply =
         check ? ReadyReply(*here)
               : co_await AnswerCaller(*here, std::move(*read.request));
-    const bool more = co_await session.Write(
-        std::move(reply), keep && !here->draining.load());
+    const bool more = co_await session.Write(std::move(reply),
+                                             keep && !here->draining.load());
     here->in_flight.fetch_sub(1);
     if (!more) {
       break;
--- a/proxy/entry.cc
+++ b/proxy/entry.cc
@@ -85,8 +85,8 @@
       result = Refusal(reason::kDeadlineExpired);
       break;
     }
-    result = co_await Offer(here, use_second ? to.second : to.owner, call,
-                            request);
+    result =
+        co_await Offer(here, use_second ? to.second : to.owner, call, request);
     said = Combine(said, result.said);
     if (result.why == reason::kOwnerUnreachable ||
         (result.why == reason::kOwnerLost && call.idempotent)) {
--- a/proxy/fleet_view.h
+++ b/proxy/fleet_view.h
@@ -34,9 +34,11 @@
 
 /// Computes the owners of the shards of every service in `config`. `self` is
 /// this node's id; loads are taken over from `before`.
-std::shared_ptr<const fleet_view> MakeFleetView(
-    const config_snapshot& config, std::vector<node_view> nodes,
-    const peer_table& peers, const std::string& self, const fleet_view& before);
+std::shared_ptr<const fleet_view> MakeFleetView(const config_snapshot& config,
+                                                std::vector<node_view> nodes,
+                                                const peer_table& peers,
+                                                const std::string& self,
+                                                const fleet_view& before);
 
 }  // namespace peridotarch
 
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -99,9 +99,8 @@
   }
   http::request_parser<http::string_body> whole(std::move(head));
   whole.body_limit(kMaxBodyBytes);
-  co_await http::async_read(
-      stream_, buffer_, whole,
-      asio::redirect_error(asio::use_awaitable, failure));
+  co_await http::async_read(stream_, buffer_, whole,
+                            asio::redirect_error(asio::use_awaitable, failure));
   if (failure) {
     co_return OutcomeOf(failure);
   }
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -3,6 +3,8 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <optional>
 
 #include "core/millis.h"
--- a/proxy/main.cc
+++ b/proxy/main.cc
@@ -1,1 +1,42 @@
-int main() { return 0; }
+// peridotarchd: one proxy of the fleet.
+
+#include <glog/logging.h>
+
+#include <exception>
+#include <iostream>
+
+#include "core/error.h"
+#include "core/exit_code.h"
+#include "proxy/daemon.h"
+#include "proxy/settings.h"
+
+namespace {
+
+using peridotarch::exit_code;
+using peridotarch::ToInt;
+
+int Run(int argc, char** argv) {
+  const auto settings = peridotarch::ReadProxySettings(argc, argv);
+  if (!settings.notice.empty()) {
+    std::cout << settings.notice;
+    return ToInt(exit_code::kOk);
+  }
+  peridotarch::RunDaemon(settings);
+  return ToInt(exit_code::kOk);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  try {
+    return Run(argc, argv);
+  } catch (const peridotarch::settings_error& bad) {
+    std::cerr << bad.what() << '\n';
+    return ToInt(exit_code::kBadSettings);
+  } catch (const std::exception& failure) {
+    std::cerr << failure.what() << '\n';
+    return ToInt(exit_code::kInternal);
+  }
+}
--- a/proxy/message.cc
+++ b/proxy/message.cc
@@ -19,11 +19,11 @@
 constexpr std::string_view kKeyStatusHeader = "Request-Key-Status";
 
 constexpr std::array<std::string_view, 8> kHopHeaders = {
-    "Connection", "Keep-Alive", "Proxy-Connection", "TE",
+    "Connection", "Keep-Alive", "Proxy-Connection",   "TE",
     "Trailer",    "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization"};
 
 constexpr std::array<std::string_view, 8> kFleetHeaders = {
-    kInnerSealHeader, kInnerCallHeader, kAttemptHeader,  kDeadlineHeader,
+    kInnerSealHeader, kInnerCallHeader, kAttemptHeader,   kDeadlineHeader,
     kVerdictHeader,   kReasonHeader,    kKeyStatusHeader, kNotStartedHeader};
 
 size_t CountOf(const http::fields& headers, std::string_view name) {
@@ -64,8 +64,8 @@
     return reason::kBadRequest;
   }
   if (CountOf(head, "Host") != 1 || CountOf(head, "Content-Length") > 1 ||
-      CountOf(head, "Transfer-Encoding") > 1 ||
-      CountOf(head, kKeyHeader) > 1 || CountOf(head, kTeamHeader) > 1) {
+      CountOf(head, "Transfer-Encoding") > 1 || CountOf(head, kKeyHeader) > 1 ||
+      CountOf(head, kTeamHeader) > 1) {
     return reason::kBadRequest;
   }
   const bool has_length = CountOf(head, "Content-Length") == 1;
@@ -141,8 +141,7 @@
   result.why = *why;
   result.said = *said;
   const std::string seconds(reply[http::field::retry_after]);
-  result.retry_after =
-      millis(std::atoll(seconds.c_str()) * kMillisPerSecond);
+  result.retry_after = millis(std::atoll(seconds.c_str()) * kMillisPerSecond);
   result.key_status = std::atoi(std::string(reply[kKeyStatusHeader]).c_str());
   result.answer = std::move(reply);
   return result;
--- a/proxy/meters.cc
+++ b/proxy/meters.cc
@@ -13,8 +13,8 @@
       retries(registry.Counter("retries_total", "Attempts beyond the first")),
       callers_left(registry.Counter("callers_left_total",
                                     "Callers that left before their reply")),
-      inner_refused(registry.Counter(
-          "inner_refused_total", "Inner requests without a valid mark")),
+      inner_refused(registry.Counter("inner_refused_total",
+                                     "Inner requests without a valid mark")),
       gossip_dropped(registry.Counter("gossip_dropped_total",
                                       "Gossip messages that were dropped")) {
   for (size_t i = 0; i < by_reason_.size(); ++i) {
--- a/proxy/node.h
+++ b/proxy/node.h
@@ -34,7 +34,7 @@
   owner_table owners;
   std::atomic<bool> draining = false;
   std::atomic<bool> isolated = false;
-  std::atomic<int> in_flight = 0;    ///< Requests of callers and peers.
+  std::atomic<int> in_flight = 0;  ///< Requests of callers and peers.
   std::atomic<uint64_t> next_request = 0;
 };
 
--- a/proxy/owner_shard.cc
+++ b/proxy/owner_shard.cc
@@ -268,7 +268,10 @@
         link->where().address != entry.address) {
       link = std::make_shared<upstream_link>(strand_, entry);
     }
-    instance_view view{entry.id, entry.zone, rule->slots_per_instance};
+    instance_view view;
+    view.id = entry.id;
+    view.zone = entry.zone;
+    view.slots = rule->slots_per_instance;
     const auto known = instances_.find(entry.id);
     if (known != instances_.end()) {
       view.state = known->second.state;
--- a/proxy/owner_table.cc
+++ b/proxy/owner_table.cc
@@ -35,11 +35,9 @@
   const std::lock_guard lock(mutex_);
   auto& claims = claims_[service];
   if (!claims) {
-    const uint64_t writer =
-        Hash64(node_.settings.node, node_.incarnation);
+    const uint64_t writer = Hash64(node_.settings.node, node_.incarnation);
     const endpoint log{node_.settings.log_host, node_.settings.log_port};
-    claims =
-        std::make_shared<claim_log>(node_.context, log, service, writer);
+    claims = std::make_shared<claim_log>(node_.context, log, service, writer);
     claims->Start();
   }
   return claims;
--- a/proxy/peer.cc
+++ b/proxy/peer.cc
@@ -80,8 +80,8 @@
 awaitable<std::string> peer::CallRpc(std::string json, millis timeout) {
   auto used = Take();
   auto call = CallOn(used, std::move(json), timeout);
-  std::string answer = co_await asio::co_spawn(used->on, std::move(call),
-                                               asio::use_awaitable);
+  std::string answer =
+      co_await asio::co_spawn(used->on, std::move(call), asio::use_awaitable);
   PutBack(std::move(used));
   co_return answer;
 }
--- a/proxy/peer_session.cc
+++ b/proxy/peer_session.cc
@@ -7,7 +7,7 @@
 #include "inner/channel.h"
 #include "inner/forwarded_call.h"
 #include "inner/headers.h"
-#include "inner/rpc/server.h"
+#include "proxy/control.h"
 #include "proxy/http_session.h"
 #include "proxy/message.h"
 #include "proxy/node.h"
@@ -49,11 +49,11 @@
   co_return ToReply(std::move(result));
 }
 
-awaitable<http_response> AnswerPeer(node& here, rpc_server& rpc,
+awaitable<http_response> AnswerPeer(node& here, control& loops,
                                     http_request request) {
-  if (request.target() == kRpcTarget &&
-      request[kInnerCallHeader].empty()) {
-    co_return TextReply(http::status::ok, rpc.Handle(request.body()));
+  if (request.target() == kRpcTarget && request[kInnerCallHeader].empty()) {
+    co_return TextReply(http::status::ok,
+                        co_await loops.HandleRpc(request.body()));
   }
   co_return co_await RunForwarded(here, std::move(request));
 }
@@ -61,7 +61,7 @@
 }  // namespace
 
 awaitable<void> ServePeer(std::shared_ptr<node> here,
-                          std::shared_ptr<rpc_server> rpc,
+                          std::shared_ptr<control> loops,
                           boost::beast::tcp_stream stream) {
   http_session session(std::move(stream));
   const std::string nonce = MakeNonce();
@@ -92,7 +92,7 @@
     }
     here->in_flight.fetch_add(1);
     http_response reply =
-        co_await AnswerPeer(*here, *rpc, std::move(*read.request));
+        co_await AnswerPeer(*here, *loops, std::move(*read.request));
     const bool more = co_await session.Write(std::move(reply), true);
     here->in_flight.fetch_sub(1);
     if (!more) {
--- a/proxy/peer_session.h
+++ b/proxy/peer_session.h
@@ -8,13 +8,13 @@
 
 namespace peridotarch {
 
-class rpc_server;
+class control;
 struct node;
 
 /// Serves one connection to the inner port: forwarded requests and JSON-RPC
 /// with marks, the metrics without.
 awaitable<void> ServePeer(std::shared_ptr<node> here,
-                          std::shared_ptr<rpc_server> rpc,
+                          std::shared_ptr<control> loops,
                           boost::beast::tcp_stream stream);
 
 }  // namespace peridotarch
--- a/proxy/upstream_link.cc
+++ b/proxy/upstream_link.cc
@@ -111,8 +111,9 @@
   used->stream.expires_at(until);
   error_code failure;
   result.end.written = written_part::kPart;
-  co_await http::async_write(used->stream, request,
-                             asio::redirect_error(asio::use_awaitable, failure));
+  co_await http::async_write(
+      used->stream, request,
+      asio::redirect_error(asio::use_awaitable, failure));
   if (failure) {
     result.end.ended = EndingOf(failure);
     co_return result;
@@ -163,9 +164,8 @@
   try {
     const http_response answer =
         co_await client.Exchange(std::move(request), timeout);
-    const auto state = FromName<cancel_answer>(nlohmann::json::parse(answer.body())
-                                                   .at("state")
-                                                   .get<std::string>());
+    const auto state = FromName<cancel_answer>(
+        nlohmann::json::parse(answer.body()).at("state").get<std::string>());
     co_return state.value_or(cancel_answer::kUnknown);
   } catch (const platform_error&) {
     co_return cancel_answer::kNone;
