Chain of revisions, log follower, replica and publisher

Cause: nodes and the command must come to one head from the log's content, on hosts that keep nothing and with a log that forgets, stalls and loses answers. Conclusion: ready to be wired into daemon and command. No functional change elsewhere.

--- /dev/null
+++ b/config/record.cc
@@ -0,0 +1,297 @@
+#include "config/record.h"
+
+#include <zstd.h>
+
+#include <algorithm>
+#include <msgpack.hpp>
+#include <utility>
+
+#include "config/parse.h"
+#include "core/error.h"
+
+namespace peridotarch {
+
+namespace {
+
+// Layout: magic (4) | length of the rest (4, little-endian) | digest (32) |
+// compressed payload. The digest covers the compressed payload. The payload is
+// one byte for the kind and the fields as a MessagePack array.
+constexpr std::string_view kMagic = "pcr1";
+constexpr size_t kLengthBytes = 4;
+constexpr size_t kDigestBytes = 32;
+constexpr size_t kHeaderBytes = kMagic.size() + kLengthBytes + kDigestBytes;
+constexpr size_t kMaxPayloadBytes = kMaxTextBytes + kMaxRecordBytes;
+constexpr size_t kMaxListed = size_t{1} << 20;  // lines or edits of a record
+constexpr int kCompression = 6;                 // zstd's level
+constexpr uint64_t kNone = UINT64_MAX;          // stands for no offset
+
+enum class record_kind : char { kPublish = 1, kSnapshot, kBundle };
+
+struct wire_edit {
+  uint32_t at = 0;
+  uint32_t removed = 0;
+  std::vector<std::string> added;
+  MSGPACK_DEFINE(at, removed, added);
+};
+
+struct wire_publish {
+  std::string id;
+  uint64_t base_number = 0;
+  std::string base_chain;
+  uint64_t through = 0;
+  uint64_t last_hash = 0;
+  uint64_t last_snapshot = kNone;
+  std::string text_digest;
+  std::vector<wire_edit> edits;
+  std::string author;
+  int64_t published = 0;
+  MSGPACK_DEFINE(id, base_number, base_chain, through, last_hash, last_snapshot,
+                 text_digest, edits, author, published);
+};
+
+struct wire_snapshot {
+  uint64_t number = 0;
+  std::string chain;
+  bool is_head = false;
+  uint64_t through = 0;
+  uint64_t last_hash = 0;
+  uint64_t last_snapshot = kNone;
+  std::string author;
+  int64_t published = 0;
+  std::string text;
+  MSGPACK_DEFINE(number, chain, is_head, through, last_hash, last_snapshot,
+                 author, published, text);
+};
+
+struct wire_bundle {
+  std::vector<std::string> records;
+  MSGPACK_DEFINE(records);
+};
+
+template <size_t kSize>
+std::string AsString(const std::array<uint8_t, kSize>& bytes) {
+  return {bytes.begin(), bytes.end()};
+}
+
+template <size_t kSize>
+void Fill(std::array<uint8_t, kSize>& to, const std::string& from) {
+  if (from.size() != kSize) {
+    throw codec_error("a fixed field has the wrong length");
+  }
+  std::ranges::copy(from, to.begin());
+}
+
+template <typename Wire>
+std::string Pack(record_kind kind, const Wire& wire) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, wire);
+  std::string payload(1, static_cast<char>(kind));
+  payload.append(buffer.data(), buffer.size());
+  return payload;
+}
+
+template <typename Wire>
+Wire Unpack(std::string_view fields) {
+  const msgpack::unpack_limit limit(kMaxListed, 0, kMaxPayloadBytes,
+                                    kMaxPayloadBytes, 0, 8);
+  size_t used = 0;
+  const msgpack::object_handle handle = msgpack::unpack(
+      fields.data(), fields.size(), used, nullptr, nullptr, limit);
+  if (used != fields.size()) {
+    throw codec_error("bytes follow the record's fields");
+  }
+  return handle->as<Wire>();
+}
+
+template <typename Wire>
+fold_place ToPlace(const Wire& wire) {
+  fold_place place{wire.through, wire.last_hash, std::nullopt};
+  if (wire.last_snapshot != kNone) {
+    place.last_snapshot = wire.last_snapshot;
+  }
+  return place;
+}
+
+std::string ToPayload(const publish_record& record) {
+  wire_publish wire;
+  wire.id = AsString(record.id);
+  wire.base_number = record.base.number;
+  wire.base_chain = AsString(record.base.chain);
+  wire.through = record.place.through;
+  wire.last_hash = record.place.last_hash;
+  wire.last_snapshot = record.place.last_snapshot.value_or(kNone);
+  wire.text_digest = AsString(record.text_digest);
+  for (const line_edit& edit : record.edits) {
+    wire.edits.push_back({edit.at, edit.removed, edit.added});
+  }
+  wire.author = record.author;
+  wire.published = record.published.count();
+  return Pack(record_kind::kPublish, wire);
+}
+
+std::string ToPayload(const snapshot_record& record) {
+  return Pack(
+      record_kind::kSnapshot,
+      wire_snapshot{record.id.number, AsString(record.id.chain), record.is_head,
+                    record.place.through, record.place.last_hash,
+                    record.place.last_snapshot.value_or(kNone), record.author,
+                    record.published.count(), record.text});
+}
+
+std::string ToPayload(const peer_bundle& record) {
+  return Pack(record_kind::kBundle, wire_bundle{record.records});
+}
+
+std::string ToPayload(const std::monostate& /*record*/) {
+  throw codec_error("an empty record has no encoding");
+}
+
+publish_record ToPublish(std::string_view payload) {
+  auto wire = Unpack<wire_publish>(payload.substr(1));
+  publish_record record;
+  Fill(record.id, wire.id);
+  record.base.number = wire.base_number;
+  Fill(record.base.chain, wire.base_chain);
+  record.place = ToPlace(wire);
+  Fill(record.text_digest, wire.text_digest);
+  for (wire_edit& edit : wire.edits) {
+    record.edits.push_back({edit.at, edit.removed, std::move(edit.added)});
+  }
+  record.author = std::move(wire.author);
+  record.published = millis(wire.published);
+  record.own_chain = Sha256(payload);
+  return record;
+}
+
+snapshot_record ToSnapshot(std::string_view payload) {
+  auto wire = Unpack<wire_snapshot>(payload.substr(1));
+  snapshot_record record;
+  record.id.number = wire.number;
+  Fill(record.id.chain, wire.chain);
+  record.is_head = wire.is_head;
+  record.place = ToPlace(wire);
+  record.author = std::move(wire.author);
+  record.published = millis(wire.published);
+  record.text = std::move(wire.text);
+  return record;
+}
+
+config_record FromPayload(std::string_view payload) {
+  if (payload.empty()) {
+    throw codec_error("an empty payload");
+  }
+  switch (static_cast<record_kind>(payload.front())) {
+    case record_kind::kPublish:
+      return ToPublish(payload);
+    case record_kind::kSnapshot:
+      return ToSnapshot(payload);
+    case record_kind::kBundle:
+      return peer_bundle{Unpack<wire_bundle>(payload.substr(1)).records};
+  }
+  throw codec_error("a record of unknown kind");
+}
+
+std::string Compress(const std::string& payload) {
+  std::string out(ZSTD_compressBound(payload.size()), '\0');
+  const size_t size = ZSTD_compress(out.data(), out.size(), payload.data(),
+                                    payload.size(), kCompression);
+  if (ZSTD_isError(size) != 0) {
+    throw codec_error("a record cannot be compressed");
+  }
+  out.resize(size);
+  return out;
+}
+
+std::string Decompress(std::string_view packed) {
+  const unsigned long long size =
+      ZSTD_getFrameContentSize(packed.data(), packed.size());
+  if (size > kMaxPayloadBytes) {  // Also the library's two error values.
+    throw codec_error("a record's payload is too large");
+  }
+  std::string out(size, '\0');
+  const size_t got =
+      ZSTD_decompress(out.data(), out.size(), packed.data(), packed.size());
+  if (ZSTD_isError(got) != 0 || got != size) {
+    throw codec_error("a record cannot be decompressed");
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string EncodeRecord(const config_record& record,
+                         std::string_view fleet_key) {
+  const std::string packed = Compress(
+      std::visit([](const auto& value) { return ToPayload(value); }, record));
+  const digest mark = HmacSha256(fleet_key, packed);
+  std::string bytes(kMagic);
+  const size_t rest = kDigestBytes + packed.size();
+  for (size_t i = 0; i < kLengthBytes; ++i) {
+    bytes.push_back(static_cast<char>((rest >> (8 * i)) & 0xff));
+  }
+  bytes.append(mark.begin(), mark.end());
+  bytes += packed;
+  if (bytes.size() > kMaxRecordBytes) {
+    throw codec_error("a record of " + std::to_string(bytes.size()) +
+                      " bytes; allowed: up to " +
+                      std::to_string(kMaxRecordBytes));
+  }
+  return bytes;
+}
+
+decoded_record DecodeRecord(std::string_view bytes,
+                            std::string_view fleet_key) {
+  if (bytes.size() > kMaxRecordBytes) {
+    return {fold_outcome::kVoidOversize, {}};
+  }
+  if (bytes.size() < kHeaderBytes || !bytes.starts_with(kMagic)) {
+    return {fold_outcome::kVoidTorn, {}};
+  }
+  size_t rest = 0;
+  for (size_t i = 0; i < kLengthBytes; ++i) {
+    rest |= size_t{static_cast<uint8_t>(bytes[kMagic.size() + i])} << (8 * i);
+  }
+  if (rest != bytes.size() - kMagic.size() - kLengthBytes) {
+    return {fold_outcome::kVoidTorn, {}};
+  }
+  const std::string_view packed = bytes.substr(kHeaderBytes);
+  digest claimed;
+  std::ranges::copy(bytes.substr(kHeaderBytes - kDigestBytes, kDigestBytes),
+                    claimed.begin());
+  if (!EqualInConstantTime(claimed, HmacSha256(fleet_key, packed))) {
+    return {fold_outcome::kVoidForged, {}};
+  }
+  try {
+    return {fold_outcome::kAccepted, FromPayload(Decompress(packed))};
+  } catch (const std::exception&) {  // The libraries have types of their own.
+    return {fold_outcome::kVoidTorn, {}};
+  }
+}
+
+snapshot_record ToSnapshotRecord(const revision& from, bool is_head,
+                                 fold_place place) {
+  return {from.id,     is_head,        place,
+          from.author, from.published, from.snapshot->text};
+}
+
+revision FromSnapshotRecord(const snapshot_record& record) {
+  return {record.id, record.author, record.published,
+          MakeSnapshot(record.id.number, record.text)};
+}
+
+revision ApplyPublish(const revision& base, const publish_record& record,
+                      fold_outcome* fault) {
+  *fault = fold_outcome::kVoidBadDigest;
+  std::string text = ApplyEdits(base.snapshot->text, record.edits);
+  if (Sha256(text) != record.text_digest) {
+    throw codec_error("a record's text has another digest");
+  }
+  *fault = fold_outcome::kVoidBadRules;
+  const uint64_t number = base.id.number + 1;
+  return {{number, record.own_chain},
+          record.author,
+          record.published,
+          MakeSnapshot(number, std::move(text))};
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/config/revision_chain.cc
@@ -0,0 +1,132 @@
+#include "config/revision_chain.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/error.h"
+
+namespace peridotarch {
+
+namespace {
+
+// Both orders of two forked revisions give the same chain.
+digest JoinedChain(const digest& left, const digest& right) {
+  std::string text = "join";
+  text.append(std::min(left, right).begin(), std::min(left, right).end());
+  text.append(std::max(left, right).begin(), std::max(left, right).end());
+  return Sha256(text);
+}
+
+}  // namespace
+
+revision_chain::revision_chain(std::string fleet_key)
+    : fleet_key_(std::move(fleet_key)) {}
+
+void revision_chain::Start(revision head, uint64_t since) {
+  head_ = std::move(head);
+  since_ = since;
+}
+
+folded_record revision_chain::Apply(uint64_t offset, millis appended,
+                                    std::string_view bytes) {
+  folded_record result;
+  result.offset = offset;
+  result.appended = appended;
+  const decoded_record decoded = DecodeRecord(bytes, fleet_key_);
+  if (decoded.fault != fold_outcome::kAccepted) {
+    result.outcome = decoded.fault;
+  } else if (const auto* publish =
+                 std::get_if<publish_record>(&decoded.record)) {
+    Publish(*publish, result);
+  } else if (const auto* snapshot =
+                 std::get_if<snapshot_record>(&decoded.record)) {
+    Snapshot(*snapshot, result);
+  }
+  return result;
+}
+
+// The successor of a head is the first record in the log's order that names it
+// as its base. The chain of a revision covers all before it, so a record can
+// take effect once only, however often it is appended or folded.
+void revision_chain::Publish(const publish_record& record,
+                             folded_record& result) {
+  result.id = {record.base.number + 1, record.own_chain};
+  result.record = record.id;
+  result.author = record.author;
+  result.published = record.published;
+  if (result.id == head_.id) {
+    result.outcome = fold_outcome::kDuplicate;
+    return;
+  }
+  if (record.base != head_.id) {
+    const bool stale = record.base.number < head_.id.number;
+    result.doubt = !stale || record.place.through >= since_;
+    result.outcome =
+        stale ? fold_outcome::kVoidStaleBase : fold_outcome::kVoidUnknownBase;
+    return;
+  }
+  if (result.id == known_.id) {
+    SetHead(known_, result.offset);
+    result.outcome = fold_outcome::kAccepted;
+    return;
+  }
+  try {
+    SetHead(ApplyPublish(head_, record, &result.outcome), result.offset);
+    result.outcome = fold_outcome::kAccepted;
+  } catch (const codec_error&) {
+    // The outcome says which check failed.
+  }
+}
+
+void revision_chain::Snapshot(const snapshot_record& record,
+                              folded_record& result) {
+  result.id = record.id;
+  result.author = record.author;
+  result.published = record.published;
+  if (record.id == head_.id) {
+    result.outcome = fold_outcome::kRenewed;
+    return;
+  }
+  result.doubt = record.is_head && record.place.through >= since_;
+  if (record.id.number < head_.id.number) {
+    result.outcome = fold_outcome::kVoidOldSnapshot;
+    return;
+  }
+  try {
+    result.outcome =
+        record.id.number > head_.id.number ? Adopt(record) : Join(record);
+    since_ = result.offset + 1;
+  } catch (const codec_error&) {
+    result.outcome = fold_outcome::kVoidBadRules;
+  }
+}
+
+// Only after a reset does the log lack what a snapshot's author had in force.
+fold_outcome revision_chain::Adopt(const snapshot_record& record) {
+  head_ = record.id == known_.id ? known_ : FromSnapshotRecord(record);
+  return fold_outcome::kAdopted;
+}
+
+// Two revisions with one number, because a reset log lost the first: neither
+// may fall back to the other, so both are followed by a new revision with the
+// text that was published last.
+fold_outcome revision_chain::Join(const snapshot_record& record) {
+  const revision other = FromSnapshotRecord(record);
+  const auto order = [](const revision& r) {
+    return std::pair(r.published, r.id.chain);
+  };
+  const revision& last = order(other) > order(head_) ? other : head_;
+  const uint64_t number = head_.id.number + 1;
+  head_ = {{number, JoinedChain(other.id.chain, head_.id.chain)},
+           last.author,
+           last.published,
+           MakeSnapshot(number, last.snapshot->text)};
+  return fold_outcome::kJoined;
+}
+
+void revision_chain::SetHead(revision head, uint64_t offset) {
+  head_ = std::move(head);
+  since_ = offset + 1;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/tests/config/fleet.cc
@@ -0,0 +1,336 @@
+#include "tests/config/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/invariant.h"
+
+namespace peridotarch {
+
+namespace {
+
+constexpr millis kGossipEvery{200};
+constexpr size_t kGossipTo = 2;
+constexpr millis kCallTimeout{500};
+
+}  // namespace
+
+std::string TestRules(int lines, int changed, const std::string& tag) {
+  std::string text;
+  for (int i = 0; i < lines; ++i) {
+    text += "limit team t" + std::to_string(i) + " rate 5/s burst 9  # team" +
+            (i == changed ? " " + tag : "") + "\n";
+  }
+  return text;
+}
+
+fleet::fleet(size_t nodes, uint64_t seed, bool use_peers)
+    : in_force_at(nodes), random_(seed), use_peers_(use_peers), nodes_(nodes) {
+  for (size_t i = 0; i < nodes; ++i) {
+    Start(i);
+  }
+}
+
+void fleet::Start(size_t index) {
+  replica_settings settings;
+  settings.fleet_key = kTestKey;
+  settings.seed = random_();
+  settings.use_peers = use_peers_;
+  node& n = nodes_[index];
+  n.replica = std::make_unique<replica>(settings);
+  ++n.incarnation;
+  n.highest = 0;
+  n.paused_until = millis();
+}
+
+void fleet::Crash(size_t node) { Start(node); }
+
+void fleet::Pause(size_t node, millis span) {
+  nodes_[node].paused_until = now + span;
+}
+
+void fleet::HealNetwork() {
+  cut_.clear();
+  log_cut_.clear();
+  loss = 0;
+  lose_answers = duplicate = reorder = false;
+  log.away = false;
+  log.stale_by = 0;
+  for (node& n : nodes_) {
+    n.paused_until = millis();
+  }
+}
+
+void fleet::Run(millis span) {
+  const millis end = now + span;
+  while (now < end) {
+    now += kTick;
+    DeliverDue();
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].paused_until <= now) {
+        Act(i, nodes_[i].replica->Tick(now));
+      }
+    }
+    for (size_t i = 0; i < operators_.size(); ++i) {
+      StepOperator(i);
+    }
+    if (now.count() % kGossipEvery.count() == 0) {
+      Gossip();
+    }
+  }
+}
+
+bool fleet::Converge(millis limit) {
+  const millis end = now + limit;
+  while (now < end) {
+    Run(millis(500));
+    const revision_id head = LogHead().id;
+    if (OperatorsDone() && std::ranges::all_of(nodes_, [&](const node& n) {
+          return n.replica->in_force().id == head;
+        })) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool fleet::OperatorsDone() const {
+  for (size_t i = 0; i < operators_.size(); ++i) {
+    if (!operators_[i].dead && !results[i]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void fleet::DeliverDue() {
+  std::ranges::sort(messages_, {},
+                    [](const message& m) { return std::pair(m.due, m.order); });
+  std::vector<message> due;
+  std::erase_if(messages_, [&](message& m) {
+    const bool awake = !m.to || nodes_[*m.to].paused_until <= now;
+    if (m.due > now || !awake) {
+      return false;
+    }
+    due.push_back(std::move(m));
+    return true;
+  });
+  for (const message& m : due) {
+    m.deliver();
+  }
+}
+
+millis fleet::Delay() {
+  const uint64_t spread = reorder ? 2000 : 60;
+  return millis(static_cast<int64_t>(random_.Below(spread)));
+}
+
+void fleet::Send(std::optional<size_t> to, millis delay,
+                 std::function<void()> deliver) {
+  messages_.push_back({now + delay, sent_++, to, std::move(deliver)});
+}
+
+void fleet::SendTo(size_t to, std::function<replica_actions(replica&)> event) {
+  const uint64_t incarnation = nodes_[to].incarnation;
+  for (int i = 0; i < Copies(); ++i) {
+    Send(to, Delay(), [this, to, incarnation, event] {
+      if (nodes_[to].incarnation == incarnation) {
+        Act(to, event(*nodes_[to].replica));
+      }
+    });
+  }
+}
+
+bool fleet::Reaches(size_t from, size_t to) {
+  return !cut_[{from, to}] && random_.Unit() >= loss;
+}
+
+void fleet::Step(protocol_step step, size_t node) {
+  if (on_step) {
+    on_step(step, node);
+  }
+}
+
+void fleet::Act(size_t index, const replica_actions& actions) {
+  const uint64_t incarnation = nodes_[index].incarnation;
+  for (const replica_action& action : actions) {
+    if (nodes_[index].incarnation != incarnation) {
+      return;  // Crashed by a fault on the way.
+    }
+    std::visit([&](const auto& one) { ActOne(index, one); }, action);
+  }
+}
+
+void fleet::ActOne(size_t index, const read_log& action) {
+  const uint64_t incarnation = nodes_[index].incarnation;
+  const bool starting = InForce(index).id.number == 0;
+  Step(starting ? protocol_step::kStartRead : protocol_step::kFollowRead,
+       index);
+  if (nodes_[index].incarnation == incarnation) {
+    FinishRead(index, action.from, action.wait, now);
+  }
+}
+
+void fleet::FinishRead(size_t index, uint64_t from, bool wait, millis issued) {
+  const uint64_t incarnation = nodes_[index].incarnation;
+  if (!LogReaches(index)) {
+    Send(index, kCallTimeout, [this, index, incarnation] {
+      if (nodes_[index].incarnation == incarnation) {
+        Act(index, nodes_[index].replica->OnLogError(now));
+      }
+    });
+    return;
+  }
+  log_page page = log.Read(from);
+  if (wait && page.records.empty() && page.next >= from &&
+      now - issued < replica::kReadWait) {
+    Send(std::nullopt, kTick, [this, index, from, issued, incarnation] {
+      if (nodes_[index].incarnation == incarnation) {
+        FinishRead(index, from, true, issued);
+      }
+    });
+    return;
+  }
+  SendTo(index, [this, page = std::move(page)](replica& to) {
+    return to.OnLogPage(page, now);
+  });
+}
+
+void fleet::ActOne(size_t index, const fetch_from_peer& action) {
+  const bool starting = InForce(index).id.number == 0;
+  const auto peer = static_cast<size_t>(std::stoul(action.node));
+  Step(starting ? protocol_step::kStartFetch : protocol_step::kFetch, index);
+  const bool answered = Reaches(index, peer) && Reaches(peer, index) &&
+                        nodes_[peer].paused_until <= now;
+  if (!answered) {
+    Send(index, kCallTimeout, [this, index] {
+      Act(index, nodes_[index].replica->OnPeerError(now));
+    });
+    return;
+  }
+  SendTo(index, [this, bytes = nodes_[peer].replica->AnswerFetch(action.have)](
+                    replica& to) { return to.OnPeerSnapshot(bytes, now); });
+}
+
+// Checked here too, beside the check inside the replica.
+void fleet::ActOne(size_t index, const put_in_force& action) {
+  node& n = nodes_[index];
+  Check(action.next.id.number > n.highest, invariant::kConfigForward);
+  n.highest = action.next.id.number;
+  in_force_at[index] = now;
+}
+
+void fleet::ActOne(size_t index, const append_record& action) {
+  const uint64_t incarnation = nodes_[index].incarnation;
+  Step(protocol_step::kRenewAppend, index);
+  if (!LogReaches(index) || nodes_[index].incarnation != incarnation) {
+    return;
+  }
+  for (int i = 0; i < Copies(); ++i) {
+    Send(index, Delay(), [this, data = action.data] {
+      if (!log.away) {
+        ++appends;
+        log.Append(data, now);
+      }
+    });
+  }
+}
+
+void fleet::ActOne(size_t /*index*/, const set_isolated& /*action*/) {}
+
+void fleet::Gossip() {
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].paused_until > now) {
+      continue;
+    }
+    Step(protocol_step::kGossip, i);
+    for (size_t k = 0; k < kGossipTo && nodes_.size() > 1; ++k) {
+      const size_t to = random_.Below(nodes_.size());
+      if (to != i && Reaches(i, to)) {
+        SendTo(to, [this, i, id = InForce(i).id](replica& other) {
+          return other.OnPeerHead(std::to_string(i), id, now);
+        });
+      }
+    }
+  }
+}
+
+size_t fleet::Publish(const std::string& text, std::optional<uint64_t> base,
+                      bool rebase) {
+  publish_request request;
+  request.fleet_key = kTestKey;
+  request.author = "operator " + std::to_string(operators_.size());
+  request.text = text;
+  request.base = base;
+  request.rebase = rebase;
+  request.id[0] = static_cast<uint8_t>(operators_.size());
+  request.id[1] = 1;
+  request.wall = now;
+  request.deadline = now + millis(30'000);
+  operators_.push_back({std::make_unique<publisher>(request)});
+  results.emplace_back();
+  return operators_.size() - 1;
+}
+
+void fleet::StepOperator(size_t index) {
+  operator_run& run = operators_[index];
+  if (run.busy || run.dead || results[index]) {
+    return;
+  }
+  publish_step step = run.machine->Next(now);
+  if (auto* end = std::get_if<publish_result>(&step)) {
+    results[index] = std::move(*end);
+    return;
+  }
+  run.busy = true;
+  const auto done = [this, index](std::function<void(publisher&)> event) {
+    Send(std::nullopt, Delay(), [this, index, event = std::move(event)] {
+      operators_[index].busy = false;
+      event(*operators_[index].machine);
+    });
+  };
+  const auto failed = [this](publisher& p) { p.OnError(now); };
+  if (const auto* read = std::get_if<publish_read>(&step)) {
+    Step(run.machine->under_way() ? protocol_step::kPublishLookup
+                                  : protocol_step::kPublishRead,
+         index);
+    if (log.away) {
+      done(failed);
+    } else {
+      done([this, page = log.Read(read->from)](publisher& p) {
+        p.OnPage(page, now);
+      });
+    }
+    return;
+  }
+  Step(protocol_step::kPublishAppend, index);
+  const auto& append = std::get<publish_append>(step);
+  if (log.away) {
+    done(failed);
+    return;
+  }
+  for (int i = 0; i < Copies(); ++i) {
+    Send(std::nullopt, Delay(),
+         [this, data = append.data] { log.Append(data, now); });
+  }
+  if (lose_answers) {
+    done(failed);
+  } else {
+    done([this](publisher& p) { p.OnAppended(now); });
+  }
+}
+
+revision fleet::LogHead() const {
+  log_follower reader(kTestKey, true);
+  while (!reader.caught_up()) {
+    fake_log whole = log;
+    whole.stale_by = 0;
+    reader.OnPage(whole.Read(reader.next_offset()), now);
+    if (reader.exhausted()) {
+      reader.StartAtOldest();
+    }
+  }
+  return reader.head();
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/tests/config/fleet.h
@@ -0,0 +1,142 @@
+#ifndef TESTS_CONFIG_FLEET_H_
+#define TESTS_CONFIG_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config/publisher.h"
+#include "config/replica.h"
+#include "core/random.h"
+#include "tests/config/fake_log.h"
+
+namespace peridotarch {
+
+inline const std::string kTestKey = "the fleet key of the tests";
+
+/// A rules file with `lines` numbered rules; `tag` goes into line `changed`.
+std::string TestRules(int lines, int changed, const std::string& tag);
+
+/// Where a protocol step is about to happen.
+enum class protocol_step {
+  kPublishRead,
+  kPublishAppend,
+  kPublishLookup,
+  kRenewAppend,
+  kGossip,
+  kFetch,
+  kStartRead,
+  kStartFetch,
+  kFollowRead,
+};
+
+/// Nodes, a log and operators on simulated time. Messages are closures that
+/// fall due; faults decide whether and when.
+class fleet {
+ public:
+  static constexpr millis kTick{50};
+
+  fleet(size_t nodes, uint64_t seed, bool use_peers = true);
+
+  fleet(const fleet&) = delete;
+  fleet& operator=(const fleet&) = delete;
+
+  /// Runs until `span` has passed.
+  void Run(millis span);
+
+  /// Runs until all live nodes have the log's head in force; false if they
+  /// have not within `limit`.
+  bool Converge(millis limit);
+
+  /// Starts an operator; its index is that of `results`.
+  size_t Publish(const std::string& text, std::optional<uint64_t> base,
+                 bool rebase = false);
+
+  void Crash(size_t node);  ///< A new node without memory takes its place.
+  void Pause(size_t node, millis span);
+  void Cut(size_t from, size_t to, bool cut) { cut_[{from, to}] = cut; }
+  void CutLog(size_t node, bool cut) { log_cut_[node] = cut; }
+  void HealNetwork();
+  /// The command of an operator ends without a word.
+  void KillOperator(size_t index) { operators_[index].dead = true; }
+
+  /// The head of a reader that folds the whole log.
+  [[nodiscard]] revision LogHead() const;
+  [[nodiscard]] const revision& InForce(size_t node) const {
+    return nodes_[node].replica->in_force();
+  }
+  [[nodiscard]] const replica& Node(size_t node) const {
+    return *nodes_[node].replica;
+  }
+  [[nodiscard]] size_t size() const { return nodes_.size(); }
+  [[nodiscard]] bool OperatorsDone() const;
+  fake_log log;
+  millis now{1'000'000};
+  double loss = 0;            ///< Of messages between nodes.
+  bool lose_answers = false;  ///< Appends take effect, their answers are lost.
+  bool duplicate = false;     ///< Every message and append comes twice.
+  bool reorder = false;       ///< Delays vary widely.
+  std::vector<std::optional<publish_result>> results;
+  std::vector<std::optional<millis>> in_force_at;  ///< Per node, last change.
+  /// Called before each step; may cause a fault.
+  std::function<void(protocol_step, size_t node)> on_step;
+  uint64_t appends = 0;
+
+ private:
+  struct node {
+    std::unique_ptr<peridotarch::replica> replica;
+    uint64_t incarnation = 0;
+    millis paused_until;
+    uint64_t highest = 0;
+    bool started = false;
+  };
+  struct message {
+    millis due;
+    uint64_t order;
+    std::optional<size_t> to;  // A paused receiver gets it when it wakes.
+    std::function<void()> deliver;
+  };
+  struct operator_run {
+    std::unique_ptr<publisher> machine;
+    bool busy = false;
+    bool dead = false;
+  };
+
+  void Start(size_t index);
+  void Act(size_t index, const replica_actions& actions);
+  void ActOne(size_t index, const read_log& action);
+  void ActOne(size_t index, const fetch_from_peer& action);
+  void ActOne(size_t index, const put_in_force& action);
+  void ActOne(size_t index, const append_record& action);
+  void ActOne(size_t index, const set_isolated& action);
+  void FinishRead(size_t index, uint64_t from, bool wait, millis issued);
+  void StepOperator(size_t index);
+  void Gossip();
+  void Send(std::optional<size_t> to, millis delay,
+            std::function<void()> deliver);
+  /// Delivers to `to` if it is still the incarnation that it is now.
+  void SendTo(size_t to, std::function<replica_actions(replica&)> event);
+  void DeliverDue();
+  bool Reaches(size_t from, size_t to);
+  bool LogReaches(size_t node) { return !log.away && !log_cut_[node]; }
+  millis Delay();
+  void Step(protocol_step step, size_t node);
+  int Copies() { return duplicate ? 2 : 1; }
+
+  random_bits random_;
+  const bool use_peers_;
+  std::vector<node> nodes_;
+  std::vector<operator_run> operators_;
+  std::vector<message> messages_;
+  uint64_t sent_ = 0;
+  std::map<std::pair<size_t, size_t>, bool> cut_;
+  std::map<size_t, bool> log_cut_;
+};
+
+}  // namespace peridotarch
+
+#endif  // TESTS_CONFIG_FLEET_H_
--- /dev/null
+++ b/tests/config/replica_test.cc
@@ -0,0 +1,208 @@
+#include "config/replica.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/invariant.h"
+#include "tests/config/fleet.h"
+
+namespace peridotarch {
+namespace {
+
+constexpr int kLines = 12;
+constexpr millis kLimit{30'000};
+constexpr millis kInForceWithin{3000};
+
+/// Puts revision 1 in force.
+void Prepare(fleet& f) {
+  SetBreachesFatal(true);
+  f.Publish(TestRules(kLines, 0, "first"), std::nullopt);
+  REQUIRE(f.Converge(kLimit));
+  REQUIRE(f.InForce(0).id.number == 1);
+}
+
+TEST_CASE("a publish is in force everywhere within the target") {
+  fleet f(5, 1);
+  Prepare(f);
+  const millis begin = f.now;
+  const size_t op = f.Publish(TestRules(kLines, 3, "x"), 1);
+  REQUIRE(f.Converge(kLimit));
+  CHECK(f.results[op]->outcome == publish_outcome::kAccepted);
+  for (const auto& at : f.in_force_at) {
+    CHECK(*at - begin <= kInForceWithin);
+  }
+  CHECK(f.InForce(4).snapshot->text == TestRules(kLines, 3, "x"));
+}
+
+TEST_CASE("two operators race: one winner, one conflict with both diffs") {
+  fleet f(5, 2);
+  Prepare(f);
+  const size_t a = f.Publish(TestRules(kLines, 3, "a"), 1);
+  const size_t b = f.Publish(TestRules(kLines, 3, "b"), 1);
+  REQUIRE(f.Converge(kLimit));
+  const bool a_won = f.results[a]->outcome == publish_outcome::kAccepted;
+  const publish_result& lost = *f.results[a_won ? b : a];
+  CHECK(f.results[a_won ? a : b]->outcome == publish_outcome::kAccepted);
+  CHECK(lost.outcome == publish_outcome::kConflict);
+  CHECK(lost.mine.size() == 2);
+  CHECK(lost.theirs.size() == 2);
+  CHECK_FALSE(lost.mergeable);
+  CHECK(f.InForce(0).id.number == 2);
+}
+
+TEST_CASE("a loser whose lines are apart is rebased when asked") {
+  for (const bool rebase : {false, true}) {
+    fleet f(5, 3);
+    Prepare(f);
+    f.Publish(TestRules(kLines, 0, "first") + "# tail\n", 1, rebase);
+    std::string other = TestRules(kLines, 0, "changed");
+    f.Publish(other, 1, rebase);
+    REQUIRE(f.Converge(kLimit));
+    const auto& lost = f.results[1]->outcome == publish_outcome::kAccepted &&
+                               !f.results[1]->rebased
+                           ? *f.results[2]
+                           : *f.results[1];
+    if (rebase) {
+      REQUIRE(f.results[2]->outcome == publish_outcome::kAccepted);
+      CHECK(f.InForce(0).id.number == 3);
+      CHECK(f.InForce(0).snapshot->text == other + "# tail\n");
+    } else {
+      CHECK(lost.outcome == publish_outcome::kConflict);
+      CHECK(lost.mergeable);
+    }
+  }
+}
+
+TEST_CASE("a lost append answer is found by reading, and takes effect once") {
+  fleet f(5, 4);
+  Prepare(f);
+  f.lose_answers = true;
+  const size_t op = f.Publish(TestRules(kLines, 3, "x"), 1);
+  REQUIRE(f.Converge(kLimit));
+  CHECK(f.results[op]->outcome == publish_outcome::kAccepted);
+  CHECK(f.InForce(0).id.number == 2);
+  CHECK(f.log.size() == 2);
+}
+
+TEST_CASE("the base of a publish must be named and reached") {
+  fleet f(5, 5);
+  Prepare(f);
+  const size_t unnamed = f.Publish(TestRules(kLines, 1, "x"), std::nullopt);
+  const size_t same = f.Publish(TestRules(kLines, 0, "first"), std::nullopt);
+  const size_t ahead = f.Publish(TestRules(kLines, 1, "y"), 9);
+  REQUIRE(f.Converge(kLimit + kLimit));
+  CHECK(f.results[unnamed]->outcome == publish_outcome::kNeedBase);
+  CHECK(f.results[same]->outcome == publish_outcome::kUnchanged);
+  CHECK(f.results[ahead]->outcome == publish_outcome::kLogBehind);
+  CHECK(f.log.size() == 1);
+}
+
+TEST_CASE("a start with the log away takes the newest revision from peers") {
+  fleet f(5, 6);
+  Prepare(f);
+  f.log.away = true;
+  const millis begin = f.now;
+  f.Crash(2);
+  f.Run(kInForceWithin);
+  CHECK(f.InForce(2).id == f.InForce(0).id);
+  CHECK(*f.in_force_at[2] - begin <= kInForceWithin);
+  f.log.away = false;
+  f.Publish(TestRules(kLines, 3, "x"), 1);
+  CHECK(f.Converge(kLimit));
+  CHECK(f.InForce(2).id.number == 2);
+}
+
+TEST_CASE("a start beside an older replica of the log does not go back") {
+  fleet f(5, 7);
+  Prepare(f);
+  f.Publish(TestRules(kLines, 3, "x"), 1);
+  REQUIRE(f.Converge(kLimit));
+  f.log.stale_by = 1;
+  f.Crash(2);
+  f.Run(kInForceWithin);
+  CHECK(f.InForce(2).id.number == 2);
+}
+
+TEST_CASE("a whole reset of the log takes nobody back and is repaired") {
+  fleet f(5, 8);
+  Prepare(f);
+  for (uint64_t base = 1; base < 5; ++base) {
+    f.Publish(TestRules(kLines, static_cast<int>(base), "x"), base);
+    REQUIRE(f.Converge(kLimit));
+  }
+  const revision_id before = f.InForce(0).id;
+  f.log.ResetWhole();
+  REQUIRE(f.Converge(kLimit));
+  CHECK(f.InForce(0).id == before);
+  CHECK(f.LogHead().id == before);
+  const size_t op = f.Publish(TestRules(kLines, 9, "y"), before.number);
+  REQUIRE(f.Converge(kLimit));
+  CHECK(f.results[op]->outcome == publish_outcome::kAccepted);
+}
+
+TEST_CASE("a fork after a reset is joined by a new revision") {
+  fleet f(5, 9);
+  Prepare(f);
+  // Node 0 alone learns of revision 2 before the log loses it.
+  for (size_t i = 1; i < f.size(); ++i) {
+    f.CutLog(i, true);
+    f.Cut(0, i, true);
+    f.Cut(i, 0, true);
+  }
+  f.Publish(TestRules(kLines, 3, "lost"), 1);
+  f.Run(kInForceWithin);
+  REQUIRE(f.InForce(0).id.number == 2);
+  f.log.Reset(1);
+  f.CutLog(0, true);
+  for (size_t i = 1; i < f.size(); ++i) {
+    f.CutLog(i, false);
+  }
+  f.Publish(TestRules(kLines, 4, "kept"), 1);
+  f.Run(kInForceWithin);
+  REQUIRE(f.InForce(1).id.number == 2);
+  REQUIRE(f.InForce(1).id != f.InForce(0).id);
+  f.HealNetwork();
+  REQUIRE(f.Converge(kLimit));
+  CHECK(f.InForce(0).id.number == 3);
+  CHECK(f.InForce(0).snapshot->text == TestRules(kLines, 4, "kept"));
+}
+
+TEST_CASE(
+    "snapshots are renewed as the log forgets; a start reads a bounded part") {
+  fleet f(3, 10);
+  Prepare(f);
+  uint64_t base = 1;
+  for (int round = 0; round < 200; ++round) {
+    f.Publish(TestRules(kLines, round % kLines, std::to_string(round)), base);
+    f.Run(millis(1000));
+    base = f.LogHead().id.number;
+    f.log.Trim(100);
+  }
+  REQUIRE(f.Converge(kLimit));
+  CHECK(base == 201);
+  fleet alone(1, 11);
+  alone.log = f.log;
+  REQUIRE(alone.Converge(kLimit));
+  CHECK(alone.InForce(0).id == f.InForce(0).id);
+}
+
+TEST_CASE(
+    "a node that hears neither log nor peers stops serving as the file says") {
+  fleet f(2, 12);
+  Prepare(f);
+  f.Publish(TestRules(kLines, 0, "first") + "isolation serve 20s # ops\n", 1);
+  REQUIRE(f.Converge(kLimit));
+  f.log.away = true;
+  f.Run(millis(25'000));
+  CHECK_FALSE(f.Node(1).isolated());  // It still hears its peer.
+  f.Cut(0, 1, true);
+  f.Run(millis(19'000));
+  CHECK_FALSE(f.Node(1).isolated());
+  f.Run(millis(3'000));
+  CHECK(f.Node(1).isolated());
+  f.HealNetwork();
+  f.Run(millis(3'000));
+  CHECK_FALSE(f.Node(1).isolated());
+}
+
+}  // namespace
+}  // namespace peridotarch
