Judge of a shard's instances and the ejection ledger, first version

Cause: owners need a judgement on their instances that keeps the floor. Change: evidence by cumulative likelihood ratios against the peers' work, the ejection chain with leases and allowances that name their holder, the step function of a shard's judge, sticky leaving.

--- /dev/null
+++ b/judge/judge.cc
@@ -0,0 +1,598 @@
+#include "judge/judge.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "core/invariant.h"
+
+namespace peridotarch {
+
+namespace {
+
+/// Scores of evidence.h that raise a suspicion and an ejection, for each
+/// weight.
+struct thresholds {
+  double suspect;
+  double eject;
+  int good;  ///< Good answers that end a probation.
+};
+constexpr std::array<thresholds, 2> kThresholds = {{
+    {7.0, 20.0, 20},  // detection time
+    {9.0, 24.0, 10},  // false ejections
+}};
+
+constexpr double kClearedShare = 0.25;  ///< Of the suspect score.
+constexpr double kUneasyShare = 0.4;    ///< Of the suspect score.
+constexpr double kProbationScore = 5.0;
+constexpr millis kSuspectAtLeast(500);
+constexpr millis kColdSpan(10'000);
+constexpr millis kHoldBase(5'000);
+constexpr millis kHoldMost(300'000);
+constexpr int kMostDoublings = 6;
+constexpr millis kEjectionsKept(600'000);
+constexpr int kRefusedForAbsence = 2;
+constexpr millis kProbeAgain(500);
+constexpr millis kProbeFresh(1'500);
+constexpr millis kOpinionWait(600);
+constexpr millis kOpinionsKept(5'000);
+constexpr int kOpinionsNeeded = 2;
+constexpr int kZonePeers = 4;  ///< Instances that make a zone's own reference.
+constexpr size_t kFewest = 3;  ///< Sick instances that hint at a common cause.
+constexpr double kDoubtFailures = 0.2;
+constexpr double kDoubtShare = 0.7;
+constexpr double kTrustShare = 0.4;
+
+std::string Holder(const judge_identity& identity) {
+  return identity.node + "/" + std::to_string(identity.incarnation) + "/" +
+         std::to_string(identity.shard);
+}
+
+}  // namespace
+
+judge::judge(const judge_identity& identity)
+    : identity_(identity), ejector_(identity.service, Holder(identity)) {
+  rule_.name = identity.service;
+}
+
+void judge::SetService(const service_rule& rule, int shards) {
+  rule_ = rule;
+  shards_ = std::max(1, shards);
+}
+
+judge_actions judge::SetInstances(std::span<const host> service,
+                                  std::span<const std::string> own,
+                                  millis now) {
+  judge_actions actions;
+  std::set<std::string_view> listed;
+  zone_sizes_.clear();
+  const std::set<std::string_view> shard(own.begin(), own.end());
+  for (const host& entry : service) {
+    const auto it = instances_.find(entry.id);
+    // A list that has gone back names a process that has been replaced.
+    if (it != instances_.end() &&
+        entry.incarnation < it->second.entry.incarnation) {
+      listed.insert(entry.id);
+      continue;
+    }
+    if (it == instances_.end() ||
+        it->second.entry.incarnation != entry.incarnation) {
+      instance fresh;
+      fresh.first_seen = now;
+      fresh.changed = now;
+      fresh.known_from_start = !listed_;
+      fresh.state = listed_ ? instance_state::kCold : instance_state::kOpen;
+      instances_.insert_or_assign(entry.id, std::move(fresh));
+    }
+    instance& known = instances_.find(entry.id)->second;
+    known.entry = entry;
+    known.own = shard.contains(entry.id);
+    listed.insert(entry.id);
+    zone_sizes_[entry.zone] += known.own ? 1 : 0;
+    if (entry.state == host_state::kLeaving) {
+      for (judge_action& each : OnLeaving(entry.id, entry.incarnation, now)) {
+        actions.push_back(std::move(each));
+      }
+    }
+  }
+  std::erase_if(instances_,
+                [&](const auto& each) { return !listed.contains(each.first); });
+  listed_ = listed_ || !service.empty();
+  for (auto& [id, each] : instances_) {
+    Publish(each, now, actions);
+  }
+  return actions;
+}
+
+judge_actions judge::LogAway(bool away) {
+  judge_actions actions;
+  if (away != log_away_) {
+    log_away_ = away;
+    ejector_.SetLogAway(away);
+  }
+  return actions;
+}
+
+void judge::OnStart(std::string_view instance, uint64_t attempt, uint32_t route,
+                    millis now) {
+  if (auto* judged = Own(instance)) {
+    judged->facts.OnStart(attempt, route, now);
+  }
+}
+
+judge_actions judge::OnOutcome(std::string_view instance, uint64_t attempt,
+                               const outcome& ended, millis now) {
+  judge_actions actions;
+  auto* judged = Own(instance);
+  if (judged == nullptr) {
+    return actions;
+  }
+  judged->facts.OnOutcome(attempt, ended, PeersOf(*judged, ended.route), now);
+  Learn(*judged, ended);
+  if (ended.kind == outcome_kind::kOk) {
+    judged->warm = true;
+    judged->absent = false;
+    judged->cut = false;
+  }
+  Judge(*judged, now, actions);
+  return actions;
+}
+
+judge_actions judge::OnProbe(std::string_view instance, bool answered,
+                             millis now) {
+  judge_actions actions;
+  auto* judged = Own(instance);
+  if (judged == nullptr) {
+    return actions;
+  }
+  judged->facts.OnProbe(answered, now);
+  (answered ? judged->last_probe_answered : judged->last_probe_failed) = now;
+  if (answered) {
+    judged->absent = false;
+  }
+  Judge(*judged, now, actions);
+  return actions;
+}
+
+judge_actions judge::OnLeaving(std::string_view instance, uint64_t incarnation,
+                               millis now) {
+  judge_actions actions;
+  const std::string id(instance);
+  if (!leaving_.Note(id, incarnation, now)) {
+    return actions;
+  }
+  actions.emplace_back(leaving_word{{identity_.service, id, incarnation}});
+  const auto it = instances_.find(instance);
+  if (it != instances_.end()) {
+    Publish(it->second, now, actions);
+  }
+  return actions;
+}
+
+judge_actions judge::OnOpinion(const opinion_note& opinion, millis now) {
+  judge_actions actions;
+  auto* judged = Own(opinion.instance);
+  if (judged == nullptr || opinion.service != identity_.service ||
+      opinion.incarnation != judged->entry.incarnation) {
+    return actions;
+  }
+  ++(opinion.reached ? judged->reached : judged->unreached);
+  Judge(*judged, now, actions);
+  return actions;
+}
+
+fold_result judge::OnLedger(std::string_view bytes, millis appended) {
+  return ejector_.OnLedger(bytes, appended);
+}
+
+judge_actions judge::Tick(millis now, millis wall) {
+  judge_actions actions;
+  wall_offset_ = wall - now;
+  leaving_.Forget(now);
+  for (auto& [id, each] : instances_) {
+    if (now - each.first_seen >= kColdSpan) {
+      each.warm = true;
+    }
+    if (each.own) {
+      each.facts.OnAge(
+          [&](uint32_t route) -> const reference& {
+            return PeersOf(each, route);
+          },
+          now);
+      each.facts.Fade(now);
+    }
+  }
+  JudgeSelf(actions);
+  for (auto& [id, each] : instances_) {
+    if (each.own) {
+      Judge(each, now, actions);
+    }
+  }
+  ApplyRights(now, actions);
+  return actions;
+}
+
+judge_actions judge::Resign(millis wall) {
+  judge_actions actions;
+  if (auto bytes = ejector_.Resign(wall)) {
+    actions.emplace_back(ledger_append{*std::move(bytes)});
+  }
+  return actions;
+}
+
+instance_state judge::StateOf(std::string_view instance) const {
+  const auto it = instances_.find(instance);
+  return it == instances_.end() ? instance_state::kLeaving : it->second.state;
+}
+
+std::vector<state_change> judge::States() const {
+  std::vector<state_change> states;
+  for (const auto& [id, each] : instances_) {
+    if (each.own) {
+      states.push_back({id, each.entry.incarnation, each.state, each.reason});
+    }
+  }
+  return states;
+}
+
+int judge::Capacity() const {
+  return static_cast<int>(View().basis.size()) * rule_.slots_per_instance;
+}
+
+int judge::Healthy() const {
+  const auto healthy = std::count_if(
+      instances_.begin(), instances_.end(), [&](const auto& each) {
+        return IsCapacity(each.second) && !each.second.out;
+      });
+  return static_cast<int>(healthy) * rule_.slots_per_instance;
+}
+
+judge::instance* judge::Own(std::string_view id) {
+  const auto it = instances_.find(id);
+  return it != instances_.end() && it->second.own ? &it->second : nullptr;
+}
+
+// The way of one instance: open, suspect on some evidence, sick on much; a sick
+// one is put forward for ejection, and after its hold goes on probation.
+void judge::Judge(instance& judged, millis now, judge_actions& actions) {
+  CheckAbsence(judged, now, actions);
+  const double score = judged.facts.Score();
+  if (judged.sick) {
+    JudgeProbation(judged, now);
+  } else if (score >= EjectScore() && MayEject(judged, now)) {
+    Condemn(judged, now);
+    ApplyRights(now, actions);
+  }
+  if (score >= SuspectScore() && Silent(judged)) {
+    AskOthers(judged, now, actions);
+  }
+  Publish(judged, now, actions);
+}
+
+void judge::JudgeProbation(instance& judged, millis now) {
+  if (!judged.probation) {
+    if (now >= judged.probation_at) {
+      judged.probation = true;
+      judged.facts.Restart();
+    }
+    return;
+  }
+  if (judged.facts.Score() >= kProbationScore) {
+    Condemn(judged, now);
+    return;
+  }
+  const auto weigh = static_cast<size_t>(rule_.weigh);
+  if (judged.facts.good() >= kThresholds[weigh].good &&
+      judged.facts.Score() < kProbationScore / 2) {
+    Absolve(judged);
+  }
+}
+
+void judge::Condemn(instance& judged, millis now) {
+  if (now - judged.last_ejection > kEjectionsKept) {
+    judged.ejections = 0;
+  }
+  const int doublings = std::min(judged.ejections, kMostDoublings);
+  const millis hold = std::min(kHoldBase * (1 << doublings), kHoldMost);
+  ++judged.ejections;
+  judged.last_ejection = now;
+  judged.sick = true;
+  judged.probation = false;
+  judged.probation_at = now + hold;
+  judged.sick_since = now + wall_offset_;
+}
+
+void judge::Absolve(instance& judged) {
+  judged.sick = false;
+  judged.probation = false;
+  judged.facts.Restart();
+}
+
+// An instance that refuses connections runs nothing: it is no capacity, which
+// needs no agreement and no room above the floor.
+void judge::CheckAbsence(instance& judged, millis now, judge_actions& actions) {
+  const bool refused = judged.facts.refused_in_a_row() >= kRefusedForAbsence &&
+                       judged.last_probe_answered + kProbeFresh < now;
+  judged.absent = judged.absent || refused;
+  if (judged.absent && now - judged.opinions_asked > kProbeAgain) {
+    judged.opinions_asked = now;
+    actions.emplace_back(probe_ask{judged.entry.id});
+  }
+}
+
+// An instance that gives no answer may be well and the way to it broken; only
+// others can tell.
+void judge::AskOthers(instance& judged, millis now, judge_actions& actions) {
+  if (judged.absent || (judged.opinions_asked != millis() &&
+                        now - judged.opinions_asked < kOpinionsKept)) {
+    return;
+  }
+  judged.opinions_asked = now;
+  judged.reached = 0;
+  judged.unreached = 0;
+  opinion_note about;
+  about.service = identity_.service;
+  about.instance = judged.entry.id;
+  about.incarnation = judged.entry.incarnation;
+  about.address = judged.entry.address;
+  about.port = judged.entry.port;
+  actions.emplace_back(opinion_ask{std::move(about)});
+  actions.emplace_back(probe_ask{judged.entry.id});
+}
+
+bool judge::MayEject(const instance& judged, millis now) const {
+  if (doubts_ || node_doubts_ || judged.absent || CommonCause(judged)) {
+    return false;
+  }
+  if (!Silent(judged)) {
+    return true;
+  }
+  // No answer at all: wait for the others, and believe this node's own probe.
+  if (judged.opinions_asked == millis() ||
+      now - judged.opinions_asked < kOpinionWait) {
+    return false;
+  }
+  const bool probe_fails =
+      judged.last_probe_failed > judged.last_probe_answered;
+  return !(probe_fails && judged.reached >= kOpinionsNeeded);
+}
+
+// Faults that come to many at once, or to a whole zone, are not the instance's
+// own: the service, the zone's network or this node is at fault.
+bool judge::CommonCause(const instance& judged) const {
+  const double uneasy = SuspectScore() * kUneasyShare;
+  size_t zone_all = 0;
+  size_t zone_bad = 0;
+  size_t all = 0;
+  size_t bad = 0;
+  for (const auto& [id, each] : instances_) {
+    if (!each.own || each.absent || each.state == instance_state::kLeaving) {
+      continue;
+    }
+    const bool is_bad = each.sick || each.facts.Score() >= uneasy;
+    ++all;
+    bad += is_bad ? 1 : 0;
+    if (each.entry.zone == judged.entry.zone) {
+      ++zone_all;
+      zone_bad += is_bad ? 1 : 0;
+    }
+  }
+  const bool most = bad >= kFewest && bad * 2 > all;
+  const bool zone =
+      zone_all >= 2 && zone_bad == zone_all && zone_all < all && zone_bad > 1;
+  return most || zone;
+}
+
+bool judge::Silent(const instance& judged) const {
+  return judged.facts.silent_share() > judged.facts.failure_share() / 2 &&
+         judged.facts.failure_share() > 0;
+}
+
+void judge::JudgeSelf(judge_actions& actions) {
+  size_t all = 0;
+  size_t failing = 0;
+  for (const auto& [id, each] : instances_) {
+    if (each.own && each.state != instance_state::kLeaving) {
+      ++all;
+      failing += each.facts.failure_share() >= kDoubtFailures ? 1 : 0;
+    }
+  }
+  const double bound = doubts_ ? kTrustShare : kDoubtShare;
+  const bool doubts =
+      failing >= kFewest &&
+      static_cast<double>(failing) >= bound * static_cast<double>(all);
+  if (doubts == doubts_) {
+    return;
+  }
+  doubts_ = doubts;
+  actions.emplace_back(timeline_entry{
+      event_kind::kSelfDoubt, identity_.service,
+      (doubts ? "begins: " : "ends: ") + std::to_string(failing) + " of " +
+          std::to_string(all) + " instances fail from here"});
+}
+
+// What is wanted goes to the ejector, worst first; what it grants is out.
+void judge::ApplyRights(millis now, judge_actions& actions) {
+  std::vector<const instance*> sick;
+  for (const auto& [id, each] : instances_) {
+    if (each.own && each.sick && !each.absent &&
+        each.state != instance_state::kLeaving) {
+      sick.push_back(&each);
+    }
+  }
+  std::stable_sort(sick.begin(), sick.end(), [](auto left, auto right) {
+    if (left->probation != right->probation) {
+      return right->probation;
+    }
+    return left->facts.Score() > right->facts.Score();
+  });
+  std::vector<wanted_ejection> wanted;
+  wanted.reserve(sick.size());
+  for (const instance* each : sick) {
+    wanted.push_back({each->entry.id, each->entry.incarnation, each->sick_since,
+                      each->facts.Describe()});
+  }
+  ejector_.SetWanted(std::move(wanted), View());
+  const millis wall = now + wall_offset_;
+  if (auto bytes = ejector_.Propose(wall)) {
+    actions.emplace_back(ledger_append{*std::move(bytes)});
+  }
+  const std::set<std::string> granted = ejector_.Granted(wall);
+  int kept_out = 0;
+  for (auto& [id, each] : instances_) {
+    each.out = each.own && granted.contains(id);
+    kept_out += each.out && IsCapacity(each) ? rule_.slots_per_instance : 0;
+    Publish(each, now, actions);
+  }
+  Check(kept_out == 0 || Capacity() - kept_out >= rule_.floor,
+        invariant::kFloor);
+  const bool reached = ejector_.HeldBack() > 0;
+  if (reached && !floor_reached_) {
+    actions.emplace_back(timeline_entry{
+        event_kind::kFloorReached, identity_.service,
+        std::to_string(ejector_.HeldBack()) + " sick instances stay, " +
+            std::to_string(Capacity()) + " slots for a floor of " +
+            std::to_string(rule_.floor)});
+  }
+  floor_reached_ = reached;
+}
+
+void judge::Publish(instance& judged, millis now, judge_actions& actions) {
+  const instance_state next = Wanted(judged);
+  if (next == judged.state || !judged.own) {
+    judged.state = next;
+    return;
+  }
+  if (judged.state == instance_state::kSuspect &&
+      next == instance_state::kOpen && now - judged.changed < kSuspectAtLeast) {
+    return;
+  }
+  const instance_state before = std::exchange(judged.state, next);
+  judged.changed = now;
+  judged.reason = Reason(judged);
+  actions.emplace_back(state_change{judged.entry.id, judged.entry.incarnation,
+                                    next, judged.reason});
+  const std::string subject = identity_.service + "/" + judged.entry.id;
+  const bool was_out = before == instance_state::kEjected ||
+                       before == instance_state::kProbation;
+  if (next == instance_state::kSuspect) {
+    actions.emplace_back(
+        timeline_entry{event_kind::kInstanceSuspected, subject, judged.reason});
+  } else if (next == instance_state::kEjected) {
+    actions.emplace_back(
+        timeline_entry{event_kind::kInstanceEjected, subject, judged.reason});
+  } else if (next == instance_state::kLeaving) {
+    actions.emplace_back(
+        timeline_entry{event_kind::kInstanceLeaving, subject, judged.reason});
+  } else if (was_out && next == instance_state::kOpen) {
+    actions.emplace_back(timeline_entry{event_kind::kInstanceReinstated,
+                                        subject, judged.reason});
+  }
+  if (judged.cut) {
+    actions.emplace_back(hand_back{judged.entry.id});
+  }
+}
+
+instance_state judge::Wanted(const instance& judged) const {
+  if (leaving_.Contains(judged.entry.id, judged.entry.incarnation)) {
+    return instance_state::kLeaving;
+  }
+  if (judged.out) {
+    return judged.probation ? instance_state::kProbation
+                            : instance_state::kEjected;
+  }
+  const double score = judged.facts.Score();
+  const double bound = judged.state == instance_state::kSuspect
+                           ? SuspectScore() * kClearedShare
+                           : SuspectScore();
+  if (judged.sick || judged.absent || score >= bound) {
+    return instance_state::kSuspect;
+  }
+  return judged.warm || judged.known_from_start ? instance_state::kOpen
+                                                : instance_state::kCold;
+}
+
+std::string judge::Reason(const instance& judged) const {
+  switch (judged.state) {
+    case instance_state::kLeaving:
+      return "it or the list says that it is leaving";
+    case instance_state::kCold:
+      return "new";
+    case instance_state::kOpen:
+      return "works like its peers";
+    default:
+      break;
+  }
+  std::string text = judged.facts.Describe();
+  if (judged.absent) {
+    text = "refuses connections";
+  } else if (judged.reached + judged.unreached > 0 && Silent(judged)) {
+    text += ", " + std::to_string(judged.reached) + " of " +
+            std::to_string(judged.reached + judged.unreached) +
+            " peers reach it";
+  }
+  if (judged.state == instance_state::kSuspect && judged.sick) {
+    text += ", kept by the floor";
+  }
+  return text;
+}
+
+capacity_view judge::View() const {
+  capacity_view view;
+  for (const auto& [id, each] : instances_) {
+    if (IsCapacity(each)) {
+      view.basis.push_back(id);
+    }
+  }
+  view.floor = rule_.floor;
+  view.slots = rule_.slots_per_instance;
+  view.shards = shards_;
+  return view;
+}
+
+bool judge::IsCapacity(const instance& judged) const {
+  return judged.warm && !judged.absent &&
+         !leaving_.Contains(judged.entry.id, judged.entry.incarnation);
+}
+
+const reference& judge::PeersOf(const instance& judged, uint32_t route) const {
+  static const reference kNone;
+  const size_t route_class = route % kRouteClasses;
+  const auto size = zone_sizes_.find(judged.entry.zone);
+  if (size != zone_sizes_.end() && size->second >= kZonePeers) {
+    const auto zone = references_.find(judged.entry.zone);
+    if (zone != references_.end() && zone->second[route_class].ready()) {
+      return zone->second[route_class];
+    }
+  }
+  const auto service = references_.find("");
+  return service == references_.end() ? kNone : service->second[route_class];
+}
+
+// Work of instances under suspicion does not make the measure of health, unless
+// most are: then it is the measure that has to move.
+void judge::Learn(const instance& judged, const outcome& ended) {
+  if (judged.state != instance_state::kOpen && !CommonCause(judged)) {
+    return;
+  }
+  const size_t route_class = ended.route % kRouteClasses;
+  for (const std::string_view zone :
+       {std::string_view(), std::string_view(judged.entry.zone)}) {
+    reference& peers = references_[std::string(zone)][route_class];
+    if (ended.kind == outcome_kind::kOk) {
+      peers.AddAnswer(ended.latency_us);
+    } else {
+      peers.AddFailure();
+    }
+  }
+}
+
+double judge::SuspectScore() const {
+  return kThresholds[static_cast<size_t>(rule_.weigh)].suspect;
+}
+
+double judge::EjectScore() const {
+  return kThresholds[static_cast<size_t>(rule_.weigh)].eject;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/judge/judge.h
@@ -0,0 +1,236 @@
+#ifndef JUDGE_JUDGE_H_
+#define JUDGE_JUDGE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "config/rules.h"
+#include "core/millis.h"
+#include "core/names.h"
+#include "core/timeline.h"
+#include "inner/gossip.h"
+#include "judge/ejector.h"
+#include "judge/evidence.h"
+#include "judge/leaving.h"
+#include "judge/reference.h"
+#include "platform/host.h"
+
+namespace peridotarch {
+
+/// How the owner's scheduler treats an instance.
+enum class instance_state {
+  kOpen,       ///< Gets work.
+  kCold,       ///< New: gets work, a little at first; is no capacity yet.
+  kSuspect,    ///< Gets work last, and a trickle of idempotent work.
+  kEjected,    ///< Gets no work.
+  kProbation,  ///< Ejected, but for a trickle of idempotent work.
+  kLeaving,    ///< Gets no new work, for good.
+};
+
+template <>
+struct names_of<instance_state> {
+  static constexpr std::array<std::string_view, 6> kTable = {
+      "open", "cold", "suspect", "ejected", "probation", "leaving"};
+};
+
+/// The scheduler sends one idempotent request at a time, and at most one each
+/// such interval, to an instance that is suspect or in probation.
+inline constexpr millis kTrickleInterval(50);
+
+/// How often the shell calls Tick at least.
+inline constexpr millis kJudgeTick(20);
+
+/// An instance's new state.
+struct state_change {
+  std::string instance;
+  uint64_t incarnation = 0;
+  instance_state state = instance_state::kOpen;
+  std::string reason;  ///< The evidence, in a few words.
+};
+
+/// A record to append to the stream of ejections.
+struct ledger_append {
+  std::string bytes;
+};
+
+/// A question to some other nodes (membership::AskOpinions).
+struct opinion_ask {
+  opinion_note about;
+};
+
+/// A probe to send from this node at once.
+struct probe_ask {
+  std::string instance;
+};
+
+/// The word that an instance leaves, for the peers (membership::NoteLeaving).
+struct leaving_word {
+  leaving_note note;
+};
+
+/// This node cannot reach an instance that others reach: its work is better
+/// handed to another node.
+struct hand_back {
+  std::string instance;
+};
+
+/// An entry for the time line.
+struct timeline_entry {
+  event_kind kind = event_kind::kInstanceSuspected;
+  std::string subject;
+  std::string detail;
+};
+
+using judge_action =
+    std::variant<state_change, ledger_append, opinion_ask, probe_ask,
+                 leaving_word, hand_back, timeline_entry>;
+using judge_actions = std::vector<judge_action>;
+
+/// Names the process and the shard that a judge works for.
+struct judge_identity {
+  std::string node;
+  uint64_t incarnation = 0;  ///< Of the node's process.
+  std::string service;
+  int shard = 0;
+};
+
+/// Judges the instances of one shard for its owner, from the outcomes of real
+/// work first. Times named `now` are of the steady clock. Not thread-safe.
+class judge {
+ public:
+  explicit judge(const judge_identity& identity);
+
+  /// Sets the service's line and its number of shards.
+  void SetService(const service_rule& rule, int shards);
+
+  /// Sets the service's instances from the platform's list, and which of them
+  /// are of this shard.
+  judge_actions SetInstances(std::span<const host> service,
+                             std::span<const std::string> own, millis now);
+
+  /// Says whether this node doubts itself (membership::Doubts).
+  void SetNodeDoubts(bool doubts) { node_doubts_ = doubts; }
+
+  /// Says whether the log is away; until it was first read to its end it is.
+  judge_actions LogAway(bool away);
+
+  /// An attempt is sent; `attempt` is unique while it is out.
+  void OnStart(std::string_view instance, uint64_t attempt, uint32_t route,
+               millis now);
+
+  /// An attempt has ended.
+  judge_actions OnOutcome(std::string_view instance, uint64_t attempt,
+                          const outcome& ended, millis now);
+
+  /// A probe from this node has ended.
+  judge_actions OnProbe(std::string_view instance, bool answered, millis now);
+
+  /// The instance, or a peer, says that it is leaving.
+  judge_actions OnLeaving(std::string_view instance, uint64_t incarnation,
+                          millis now);
+
+  /// A peer has probed an instance.
+  judge_actions OnOpinion(const opinion_note& opinion, millis now);
+
+  /// A record of the stream of ejections was read; those of other services are
+  /// ignored.
+  fold_result OnLedger(std::string_view bytes, millis appended);
+
+  /// Advances time; `wall` is the wall clock at `now`.
+  judge_actions Tick(millis now, millis wall);
+
+  /// The node stops or no longer owns the shard: gives up its rights.
+  judge_actions Resign(millis wall);
+
+  /// Most instances fail from here, so this node may be the cause.
+  [[nodiscard]] bool Doubts() const { return doubts_; }
+
+  /// State and reason of an instance of the shard.
+  [[nodiscard]] instance_state StateOf(std::string_view instance) const;
+  [[nodiscard]] std::vector<state_change> States() const;
+
+  /// Slots of the service's capacity in view, and those of it in service.
+  [[nodiscard]] int Capacity() const;
+  [[nodiscard]] int Healthy() const;
+
+  [[nodiscard]] const ejector& rights() const { return ejector_; }
+
+ private:
+  /// An instance of the service; evidence is kept for those of the shard.
+  struct instance {
+    host entry;
+    bool own = false;
+    bool known_from_start = false;
+    millis first_seen;
+    bool warm = false;
+    instance_state state = instance_state::kOpen;
+    std::string reason;
+    evidence facts;
+    bool sick = false;    ///< The evidence suffices for an ejection.
+    bool absent = false;  ///< Refuses connections: no capacity.
+    bool cut = false;     ///< Others reach it and this node does not.
+    bool out = false;     ///< Kept out by this node.
+    millis changed;       ///< When `state` last changed.
+    millis sick_since;    ///< Wall clock.
+    millis probation_at;  ///< When the hold ends.
+    bool probation = false;
+    int ejections = 0;  ///< Of late; each doubles the hold.
+    millis last_ejection;
+    millis last_probe_answered;
+    millis last_probe_failed;
+    millis opinions_asked;
+    int reached = 0;    ///< Peers that reach it, since asked.
+    int unreached = 0;  ///< Peers that do not.
+  };
+
+  using instance_map = std::map<std::string, instance, std::less<>>;
+
+  instance* Own(std::string_view id);
+  void Judge(instance& judged, millis now, judge_actions& actions);
+  void JudgeProbation(instance& judged, millis now);
+  void Condemn(instance& judged, millis now);
+  void Absolve(instance& judged);
+  void CheckAbsence(instance& judged, millis now, judge_actions& actions);
+  void AskOthers(instance& judged, millis now, judge_actions& actions);
+  [[nodiscard]] bool MayEject(const instance& judged, millis now) const;
+  [[nodiscard]] bool CommonCause(const instance& judged) const;
+  [[nodiscard]] bool Silent(const instance& judged) const;
+  void JudgeSelf(judge_actions& actions);
+  void ApplyRights(millis now, judge_actions& actions);
+  void Publish(instance& judged, millis now, judge_actions& actions);
+  [[nodiscard]] instance_state Wanted(const instance& judged) const;
+  [[nodiscard]] std::string Reason(const instance& judged) const;
+  [[nodiscard]] capacity_view View() const;
+  [[nodiscard]] bool IsCapacity(const instance& judged) const;
+  const reference& PeersOf(const instance& judged, uint32_t route) const;
+  void Learn(const instance& judged, const outcome& ended);
+  [[nodiscard]] double SuspectScore() const;
+  [[nodiscard]] double EjectScore() const;
+
+  const judge_identity identity_;
+  service_rule rule_;
+  int shards_ = 1;
+  instance_map instances_;
+  leaving_set leaving_;
+  ejector ejector_;
+  /// References by zone ("" for the whole service) and class of routes.
+  std::map<std::string, std::array<reference, kRouteClasses>, std::less<>>
+      references_;
+  std::map<std::string, int, std::less<>> zone_sizes_;
+  millis wall_offset_;  ///< Wall clock less steady clock.
+  bool listed_ = false;
+  bool node_doubts_ = false;
+  bool doubts_ = false;
+  bool log_away_ = true;
+  bool floor_reached_ = false;
+};
+
+}  // namespace peridotarch
+
+#endif  // JUDGE_JUDGE_H_
--- /dev/null
+++ b/judge/ledger.cc
@@ -0,0 +1,190 @@
+#include "judge/ledger.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/error.h"
+
+namespace peridotarch {
+
+namespace {
+
+bool HasLease(const ejection_record& record, const ejection_lease& wanted) {
+  return std::any_of(
+      record.leases.begin(), record.leases.end(), [&](const auto& each) {
+        return each.instance == wanted.instance &&
+               each.incarnation == wanted.incarnation &&
+               each.holder == wanted.holder && each.until == wanted.until &&
+               (wanted.active || !each.active);
+      });
+}
+
+bool HasAllowance(const ejection_record& record,
+                  const ejection_allowance& wanted) {
+  return std::find(record.allowances.begin(), record.allowances.end(),
+                   wanted) != record.allowances.end();
+}
+
+// What another process holds stays reserved until it ends, since that process
+// may be acting on it without hearing of this record.
+bool KeepsRightsOfOthers(const ejection_record& head,
+                         const ejection_record& next, millis wall) {
+  const auto kept = [&](const auto& held, auto has) {
+    return held.holder == next.proposer || held.until <= wall ||
+           has(next, held);
+  };
+  return std::all_of(head.leases.begin(), head.leases.end(),
+                     [&](const auto& each) { return kept(each, HasLease); }) &&
+         std::all_of(
+             head.allowances.begin(), head.allowances.end(),
+             [&](const auto& each) { return kept(each, HasAllowance); });
+}
+
+// A process can only grant rights to itself.
+bool GrantsOnlyToProposer(const ejection_record& head,
+                          const ejection_record& next) {
+  const auto granted = [&](const auto& right, auto has) {
+    return right.holder == next.proposer || has(head, right);
+  };
+  return std::all_of(next.leases.begin(), next.leases.end(),
+                     [&](const ejection_lease& each) {
+                       // An active lease may have become inactive.
+                       ejection_lease before = each;
+                       before.active = true;
+                       return granted(each, HasLease) ||
+                              (!each.active && granted(before, HasLease));
+                     }) &&
+         std::all_of(
+             next.allowances.begin(), next.allowances.end(),
+             [&](const auto& each) { return granted(each, HasAllowance); });
+}
+
+bool EndsInTime(const ejection_record& next, millis appended) {
+  const millis latest = appended + kLeaseSpan + kClockMargin;
+  const auto in_time = [&](const auto& each) { return each.until <= latest; };
+  return std::all_of(next.leases.begin(), next.leases.end(), in_time) &&
+         std::all_of(next.allowances.begin(), next.allowances.end(), in_time);
+}
+
+// Reinstating is always allowed: departures may have taken the service under
+// its floor, and then no record that still keeps something out could fit.
+bool OnlyGivesBack(const ejection_record& head, const ejection_record& next) {
+  const bool leases = std::all_of(
+      next.leases.begin(), next.leases.end(), [&](const auto& each) {
+        return std::any_of(head.leases.begin(), head.leases.end(),
+                           [&](const auto& held) {
+                             return held.instance == each.instance &&
+                                    held.incarnation == each.incarnation;
+                           });
+      });
+  const bool allowances = std::all_of(
+      next.allowances.begin(), next.allowances.end(), [&](const auto& each) {
+        return std::any_of(head.allowances.begin(), head.allowances.end(),
+                           [&](const auto& held) {
+                             return held.holder == each.holder &&
+                                    held.slots >= each.slots;
+                           });
+      });
+  return leases && allowances;
+}
+
+}  // namespace
+
+fold_result ledger::Fold(std::string_view bytes, millis appended) {
+  ejection_record next;
+  try {
+    next = DecodeEjection(bytes);
+  } catch (const codec_error&) {
+    return fold_result::kMalformed;
+  }
+  const fold_result result = Judge(next, appended);
+  if (result != fold_result::kAccepted) {
+    return result;
+  }
+  anchored_ =
+      anchored_ || next.sequence == 1 || (head_ && next.base == head_digest_);
+  head_ = std::move(next);
+  head_bytes_ = bytes;
+  head_digest_ = Sha256(bytes);
+  return result;
+}
+
+fold_result ledger::Judge(const ejection_record& next, millis appended) const {
+  if (next.service != service_) {
+    return fold_result::kOtherService;
+  }
+  if (!Follows(next)) {
+    return fold_result::kNotNext;
+  }
+  if (!EndsInTime(next, appended)) {
+    return fold_result::kTooLong;
+  }
+  const bool linked = head_ && next.base == head_digest_;
+  if (linked && !(KeepsRightsOfOthers(*head_, next, appended) &&
+                  GrantsOnlyToProposer(*head_, next))) {
+    return fold_result::kDropsLease;
+  }
+  const bool fits = Capacity(next) - SlotsOut(next, appended) >= next.floor;
+  const bool gives_back = linked && OnlyGivesBack(*head_, next);
+  const bool empty = next.leases.empty() && next.allowances.empty();
+  if (!fits && !gives_back && !empty) {
+    return fold_result::kBreaksFloor;
+  }
+  return fold_result::kAccepted;
+}
+
+ejection_record ledger::Follow(const std::string& proposer, millis wall) const {
+  ejection_record next;
+  next.service = service_;
+  next.proposer = proposer;
+  if (!head_) {
+    return next;
+  }
+  next.base = head_digest_;
+  next.sequence = head_->sequence + 1;
+  const auto kept = [&](const auto& each) {
+    return each.holder != proposer && each.until > wall;
+  };
+  std::copy_if(head_->leases.begin(), head_->leases.end(),
+               std::back_inserter(next.leases), kept);
+  std::copy_if(head_->allowances.begin(), head_->allowances.end(),
+               std::back_inserter(next.allowances), kept);
+  return next;
+}
+
+// Records expire, so a reader may start in the middle of the chain. A void
+// record never has a higher sequence than the head it lost to; until two linked
+// records have been seen, the first of each higher sequence is the chain.
+bool ledger::Follows(const ejection_record& next) const {
+  if (!head_) {
+    return next.sequence == 1 ? next.base == digest{} : true;
+  }
+  if (next.base == head_digest_) {
+    return next.sequence == head_->sequence + 1;
+  }
+  return !anchored_ && next.sequence > head_->sequence;
+}
+
+int SlotsOut(const ejection_record& record, millis wall) {
+  const std::set<std::string_view> basis(record.basis.begin(),
+                                         record.basis.end());
+  std::set<std::string_view> out;
+  for (const ejection_lease& lease : record.leases) {
+    if (lease.until > wall && basis.contains(lease.instance)) {
+      out.insert(lease.instance);
+    }
+  }
+  int slots = static_cast<int>(out.size()) * record.slots;
+  for (const ejection_allowance& allowance : record.allowances) {
+    slots += allowance.until > wall ? allowance.slots : 0;
+  }
+  return slots;
+}
+
+int Capacity(const ejection_record& record) {
+  const std::set<std::string_view> basis(record.basis.begin(),
+                                         record.basis.end());
+  return static_cast<int>(basis.size()) * record.slots;
+}
+
+}  // namespace peridotarch
