--- a/cli/command.cc
+++ b/cli/command.cc
@@ -4,9 +4,9 @@
 #include <exception>
 
 #include "cli/settings.h"
+#include "config/words.h"
 #include "core/error.h"
 #include "core/exit_code.h"
-#include "core/nearest_word.h"
 #include "core/version.h"
 
 namespace peridotarch {
@@ -40,11 +40,11 @@
 }
 
 int RejectCommand(const std::string& name, std::ostream& err) {
-  std::vector<std::string> names;
+  std::vector<std::string_view> names;
   for (const command& each : Commands()) {
-    names.emplace_back(each.name);
+    names.push_back(each.name);
   }
-  const std::string nearest = NearestWord(name, names);
+  const auto nearest = NearestWord(name, names);
   err << "peridotarch: no command \"" << name << '"';
   if (!nearest.empty()) {
     err << "; did you mean " << nearest << '?';
--- a/core/settings_reader.cc
+++ b/core/settings_reader.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/error.h"
+#include "core/span_text.h"
 
 namespace peridotarch {
 
@@ -157,23 +158,11 @@
 }
 
 millis settings_reader::Span(std::string_view name, millis low, millis high) {
-  constexpr std::pair<std::string_view, int64_t> kUnits[] = {
-      {"ms", 1}, {"s", 1000}, {"m", 60'000}};
-  const std::string text = Text(name);
-  const size_t digits =
-      std::min(text.find_first_not_of("0123456789"), text.size());
-  for (const auto& [unit, factor] : kUnits) {
-    if (text.substr(digits) != unit) {
-      continue;
-    }
-    const auto number =
-        ParseNumber(text.substr(0, digits), 0, high.count() / factor);
-    if (number && millis(*number * factor) >= low) {
-      return millis(*number * factor);
-    }
+  const auto span = ParseSpan(Text(name), low, high);
+  if (!span) {
+    Reject(name);
   }
-  Reject(name);
-  return low;
+  return span.value_or(low);
 }
 
 void settings_reader::Reject(std::string_view name) {
