Refusals of keyed requests before the claim are may_have_run

Cause: the entry node and the owner passed the verdict of an attempt on as the request's: no_route, isolated, owner_unreachable, deadline_expired and log_away told a caller not_run for a key whose first submission may run elsewhere.

--- a/proxy/entry.cc
+++ b/proxy/entry.cc
@@ -50,6 +50,15 @@
   return PickShard(shards, Hash64(call.id));
 }
 
+// Refuses before any owner has looked at the key: another submission of it may
+// have run.
+call_result RefuseHere(reason why, bool keyed) {
+  call_result refused = Refusal(why);
+  const auto known = keyed ? key_knowledge::kUnknown : key_knowledge::kNoKey;
+  refused.said = RequestVerdict(refused.said, known);
+  return refused;
+}
+
 awaitable<call_result> Offer(node& here, const std::shared_ptr<peer>& owner,
                              forwarded_call call, http_request request) {
   if (owner) {
@@ -66,13 +75,14 @@
                                      http_request request) {
   const millis deadline = steady_clock::Now() + route.timeout;
   verdict said = verdict::kNotRun;
+  const bool keyed = !call.key.empty();
   call_result result = Refusal(reason::kOwnerUnreachable);
   bool use_second = false;
   for (int offer = 0; offer < kMaxOffers; ++offer) {
     const auto fleet = here.fleet.Load();
     const auto shards = fleet->services.find(call.service);
     if (shards == fleet->services.end() || shards->second.empty()) {
-      co_return Refusal(reason::kNoCapacity);
+      co_return RefuseHere(reason::kNoCapacity, keyed);
     }
     const int count = static_cast<int>(shards->second.size());
     call.shard = std::min(call.shard, count - 1);
@@ -104,6 +114,11 @@
   if (result.why != reason::kAnswered) {
     result.said = said;
   }
+  if (result.why == reason::kOwnerUnreachable ||
+      result.why == reason::kDeadlineExpired) {
+    const auto known = keyed ? key_knowledge::kUnknown : key_knowledge::kNoKey;
+    result.said = RequestVerdict(result.said, known);
+  }
   co_return result;
 }
 
@@ -112,16 +127,17 @@
 awaitable<call_result> RunRequest(node& here, http_request request) {
   // One snapshot serves the whole request, whatever is published meanwhile.
   const auto config = here.config.Load();
+  const bool keyed = !request[kKeyHeader].empty();
   if (!config) {
-    co_return Refusal(reason::kNotConfigured);
+    co_return RefuseHere(reason::kNotConfigured, keyed);
   }
   if (here.isolated.load(std::memory_order_relaxed)) {
-    co_return Refusal(reason::kIsolated);
+    co_return RefuseHere(reason::kIsolated, keyed);
   }
   const route_rule* route =
       config->routes.Match(request.method_string(), request.target());
   if (route == nullptr) {
-    co_return Refusal(reason::kNoRoute);
+    co_return RefuseHere(reason::kNoRoute, keyed);
   }
   forwarded_call call;
   call.service = route->service;
--- a/proxy/owner_shard.cc
+++ b/proxy/owner_shard.cc
@@ -92,6 +92,7 @@
   const claim_outcome claim = co_await claims_->Claim(*key, left);
   if (!claim.won) {
     call_result refused = Refusal(claim.why);
+    refused.said = RequestVerdict(refused.said, key_knowledge::kUnknown);
     refused.key_status = claim.status;
     co_return refused;
   }
