Seeded scenarios of the request package fold to one number

Change: BenchRequest(seed) runs the scheduler, two claimers on one stream, team and retry limits and the owners of shards, and folds every decision.

No functional change.

--- /dev/null
+++ b/request/bench.cc
@@ -0,0 +1,145 @@
+#include "request/bench.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/hash.h"
+#include "core/random.h"
+#include "request/attempt.h"
+#include "request/claimer.h"
+#include "request/retry_budget.h"
+#include "request/shard.h"
+#include "request/shard_map.h"
+#include "request/team_limit.h"
+
+namespace peridotarch {
+
+namespace {
+
+constexpr int kSteps = 20'000;
+constexpr int64_t kEpoch = 1'800'000'000'000;
+
+/// Folds numbers and names into one hash, in order.
+class fold {
+ public:
+  void Add(uint64_t value) { Add(std::to_string(value)); }
+  void Add(std::string_view text) { value_ = Hash64(text, value_); }
+  [[nodiscard]] uint64_t value() const { return value_; }
+
+ private:
+  uint64_t value_ = 0;
+};
+
+void RunShard(random_bits& random, fold& out) {
+  std::vector<instance_view> views;
+  for (int i = 0; i < 6; ++i) {
+    views.push_back({"i" + std::to_string(i), "z" + std::to_string(i % 3), 3,
+                     instance_state::kOpen, millis()});
+  }
+  shard owner;
+  std::multimap<millis, ticket> ends;
+  millis now{1'000};
+  for (ticket id = 1; id <= kSteps; ++id) {
+    now += millis(static_cast<int64_t>(random.Below(6)));
+    if (id % 500 == 1) {
+      views[random.Below(views.size())].state =
+          static_cast<instance_state>(random.Below(6));
+      owner.SetInstances(views, now);
+    }
+    while (!ends.empty() && ends.begin()->first <= now) {
+      owner.Release(ends.begin()->second, now);
+      ends.erase(ends.begin());
+    }
+    const auto left = static_cast<int64_t>(50 + random.Below(500));
+    owner.Admit(id, {now + millis(left), "z0", random.Below(2) == 0, ""}, now);
+    for (const shard_action& done : owner.Tick(now)) {
+      out.Add(done.id);
+      out.Add(ToName(done.why));
+      out.Add(done.instance);
+      if (done.act == shard_action::action::kGrant) {
+        const auto held = static_cast<int64_t>(5 + random.Below(80));
+        ends.emplace(now + millis(held), done.id);
+      }
+    }
+  }
+}
+
+// Two claimers contend for the same keys through one stream.
+void RunClaims(random_bits& random, fold& out) {
+  claimer first(1, claim_window());
+  claimer second(2, claim_window());
+  std::vector<log_record> stream;
+  const auto read = [&](claimer& who, millis now) {
+    const auto from = static_cast<std::ptrdiff_t>(who.position());
+    const log_page page{
+        0, stream.size(), {stream.begin() + from, stream.end()}};
+    who.Read(page, now, now + millis(kEpoch));
+  };
+  for (int step = 0; step < kSteps / 10; ++step) {
+    const millis now{step * 7};
+    claimer& who = random.Below(2) == 0 ? first : second;
+    if (random.Below(2) == 0) {
+      const std::string text = std::to_string(kEpoch + step / 10) + "-key" +
+                               std::to_string(10'000 + step / 10);
+      who.Submit(*ParseRequestKey("s", text), now + millis(500), now,
+                 now + millis(kEpoch));
+    }
+    const claim_step next = who.Tick(now, now + millis(kEpoch));
+    if (next.append) {
+      stream.push_back({stream.size(), now + millis(kEpoch), *next.append});
+      who.AppendEnded();
+    }
+    for (const claim_outcome& outcome : next.outcomes) {
+      out.Add(outcome.submission);
+      out.Add(outcome.won ? "won" : ToName(outcome.why));
+      if (outcome.won && random.Below(3) > 0) {
+        who.Complete(outcome.submission, 201);
+      } else if (outcome.won) {
+        who.Release(outcome.submission, now);
+      }
+    }
+    read(who, now);
+  }
+}
+
+void RunLimits(random_bits& random, fold& out) {
+  team_bucket bucket(50, 20);
+  retry_budget budget;
+  uint64_t charged = 0;
+  uint64_t retried = 0;
+  for (int step = 0; step < kSteps; ++step) {
+    charged += bucket.Charge(millis(step)) ? 1 : 0;
+    budget.NoteRequest();
+    retried += random.Below(4) == 0 && budget.TakeRetry() ? 1 : 0;
+  }
+  out.Add(charged);
+  out.Add(retried);
+}
+
+void RunOwners(fold& out) {
+  std::vector<node_view> nodes;
+  for (int i = 0; i < 36; ++i) {
+    nodes.push_back({"n" + std::to_string(i), "z", 1, true});
+  }
+  for (int service = 0; service < 150; ++service) {
+    const std::string name = "s" + std::to_string(service);
+    for (int part = 0; part < ShardCount(service * 2); ++part) {
+      out.Add(OwnerOf(name, part, nodes)->id);
+    }
+  }
+}
+
+}  // namespace
+
+uint64_t BenchRequest(uint64_t seed) {
+  random_bits random(seed);
+  fold out;
+  RunShard(random, out);
+  RunClaims(random, out);
+  RunLimits(random, out);
+  RunOwners(out);
+  return out.value();
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/request/bench.h
@@ -0,0 +1,14 @@
+#ifndef REQUEST_BENCH_H_
+#define REQUEST_BENCH_H_
+
+#include <cstdint>
+
+namespace peridotarch {
+
+/// Runs fixed scenarios of this package's decisions and folds every decision
+/// into one number. Equal seeds give equal numbers on every machine.
+uint64_t BenchRequest(uint64_t seed);
+
+}  // namespace peridotarch
+
+#endif  // REQUEST_BENCH_H_
