--- a/proxy/claim_log.cc
+++ b/proxy/claim_log.cc
@@ -56,7 +56,7 @@
 
 void claim_log::Release(uint64_t submission) {
   asio::post(strand_, [self = shared_from_this(), submission] {
-    self->claimer_.Release(submission);
+    self->claimer_.Release(submission, steady_clock::Now());
     self->Pump();
   });
 }
--- a/proxy/control.cc
+++ b/proxy/control.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "config/record.h"
 #include "core/error.h"
 #include "core/hash.h"
 #include "inner/rpc/rpc_client.h"
@@ -25,7 +26,6 @@
 
 namespace {
 
-constexpr const char* kConfigStream = "config";
 constexpr int kPageRecords = 256;
 constexpr millis kReplicaTick(100);
 constexpr millis kHostsInterval(500);
@@ -152,8 +152,9 @@
   bool failed = false;
   log_page page;
   try {
-    page = co_await log_.Read(kConfigStream, what.from, kPageRecords,
-                              what.wait ? replica::kReadWait : millis(0));
+    page =
+        co_await log_.Read(std::string(kConfigStream), what.from, kPageRecords,
+                           what.wait ? replica::kReadWait : millis(0));
   } catch (const platform_error&) {
     failed = true;
   }
@@ -192,7 +193,7 @@
 
 awaitable<void> control::AppendConfig(append_record what) {
   try {
-    co_await log_.Append(kConfigStream, what.data);
+    co_await log_.Append(std::string(kConfigStream), what.data);
   } catch (const platform_error&) {
     // The replica sees by reading whether the record is there.
   }
@@ -251,7 +252,7 @@
   log_away_ = away;
   node_->events.Add(wall_clock::Now(),
                     away ? event_kind::kLogAway : event_kind::kLogBack,
-                    kConfigStream, "");
+                    std::string(kConfigStream), "");
   LOG(WARNING) << (away ? "the log does not answer" : "the log answers again");
 }
 
--- a/proxy/daemon.cc
+++ b/proxy/daemon.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "core/error.h"
+#include "core/invariant.h"
 #include "proxy/caller_session.h"
 #include "proxy/control.h"
 #include "proxy/node.h"
