--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -1,11 +1,12 @@
 #include "cli/command.h"
+#include "cli/config_commands.h"
 #include "cli/status.h"
 #include "cli/timeline.h"
 
 namespace peridotarch {
 
 const std::vector<command>& Commands() {
-  static const std::vector<command> table = {
+  static const std::vector<command> table = WithConfigCommands({
       {"status", "",
        "Each service's capacity against its floor, and each proxy",
        "Asks every proxy in the host list. For each service: healthy slots, "
@@ -27,7 +28,7 @@
        "Needs --hosts and --fleet-key. With --json: one array.\n"
        "Exit codes: 0; 2 settings; 3 no proxy answers.\n",
        TimelineCommand},
-  };
+  });
   return table;
 }
 
