--- a/tests/config/fleet.cc
+++ b/tests/config/fleet.cc
@@ -24,8 +24,12 @@
   return text;
 }
 
-fleet::fleet(size_t nodes, uint64_t seed, bool use_peers)
-    : in_force_at(nodes), random_(seed), use_peers_(use_peers), nodes_(nodes) {
+fleet::fleet(size_t nodes, uint64_t seed, bool use_peers, millis retention)
+    : in_force_at(nodes),
+      random_(seed),
+      use_peers_(use_peers),
+      retention_(retention),
+      nodes_(nodes) {
   for (size_t i = 0; i < nodes; ++i) {
     Start(i);
   }
@@ -36,6 +40,7 @@
   settings.fleet_key = kTestKey;
   settings.seed = random_();
   settings.use_peers = use_peers_;
+  settings.retention = retention_;
   node& n = nodes_[index];
   n.replica = std::make_unique<replica>(settings);
   ++n.incarnation;
@@ -267,14 +272,15 @@
   request.id[1] = 1;
   request.wall = now;
   request.deadline = now + millis(30'000);
-  operators_.push_back({std::make_unique<publisher>(request)});
+  operators_.emplace_back();
+  operators_.back().machine = std::make_unique<publisher>(request);
   results.emplace_back();
   return operators_.size() - 1;
 }
 
 void fleet::StepOperator(size_t index) {
   operator_run& run = operators_[index];
-  if (run.busy || run.dead || results[index]) {
+  if (run.busy || run.dead || results[index] || run.paused_until > now) {
     return;
   }
   publish_step step = run.machine->Next(now);
@@ -294,7 +300,7 @@
     Step(run.machine->under_way() ? protocol_step::kPublishLookup
                                   : protocol_step::kPublishRead,
          index);
-    if (log.away) {
+    if (log.away || operators_[index].dead) {
       done(failed);
     } else {
       done([this, page = log.Read(read->from)](publisher& p) {
--- a/tests/config/fleet.h
+++ b/tests/config/fleet.h
@@ -40,7 +40,8 @@
  public:
   static constexpr millis kTick{50};
 
-  fleet(size_t nodes, uint64_t seed, bool use_peers = true);
+  fleet(size_t nodes, uint64_t seed, bool use_peers = true,
+        millis retention = millis(24 * 3'600'000));
 
   fleet(const fleet&) = delete;
   fleet& operator=(const fleet&) = delete;
@@ -61,6 +62,9 @@
   void Cut(size_t from, size_t to, bool cut) { cut_[{from, to}] = cut; }
   void CutLog(size_t node, bool cut) { log_cut_[node] = cut; }
   void HealNetwork();
+  void PauseOperator(size_t index, millis span) {
+    operators_[index].paused_until = now + span;
+  }
   /// The command of an operator ends without a word.
   void KillOperator(size_t index) { operators_[index].dead = true; }
 
@@ -104,6 +108,7 @@
     std::unique_ptr<publisher> machine;
     bool busy = false;
     bool dead = false;
+    millis paused_until;
   };
 
   void Start(size_t index);
@@ -129,6 +134,7 @@
 
   random_bits random_;
   const bool use_peers_;
+  const millis retention_;
   std::vector<node> nodes_;
   std::vector<operator_run> operators_;
   std::vector<message> messages_;
--- /dev/null
+++ b/tests/config/random_schedule_test.cc
@@ -0,0 +1,161 @@
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "core/invariant.h"
+#include "tests/config/fleet.h"
+
+namespace peridotarch {
+namespace {
+
+constexpr int kLines = 4;
+constexpr size_t kNodes = 4;
+constexpr int kSchedules = 10'000;
+constexpr int64_t kUnit = 100;  // milliseconds
+constexpr millis kLimit{90'000};
+
+enum class fault {
+  kCrash,
+  kPause,
+  kCutOneWay,
+  kCutLog,
+  kStale,
+  kAway,
+  kTrim,
+  kTruncate,
+  kResetWhole,
+  kDuplicate,
+  kReorder,
+  kLoseAnswers,
+  kLoss,
+  kHeal,
+  kPublish,
+  kRace,
+};
+
+/// One fault of a schedule.
+struct scheduled_fault {
+  fault kind = fault::kHeal;
+  int at = 0;  // kUnit
+  size_t node = 0;
+  size_t other = 0;
+  int size = 0;
+};
+
+void showValue(const scheduled_fault& f, std::ostream& out) {
+  out << "{kind " << static_cast<int>(f.kind) << " at " << f.at << " node "
+      << f.node << " other " << f.other << " size " << f.size << "}";
+}
+
+rc::Gen<scheduled_fault> AnyFault() {
+  constexpr int kKinds = static_cast<int>(fault::kRace) + 1;
+  return rc::gen::build<scheduled_fault>(
+      rc::gen::set(&scheduled_fault::kind,
+                   rc::gen::map(rc::gen::inRange(0, kKinds),
+                                [](int k) { return static_cast<fault>(k); })),
+      rc::gen::set(&scheduled_fault::at, rc::gen::inRange(0, 60)),
+      rc::gen::set(&scheduled_fault::node, rc::gen::inRange<size_t>(0, kNodes)),
+      rc::gen::set(&scheduled_fault::other,
+                   rc::gen::inRange<size_t>(0, kNodes)),
+      rc::gen::set(&scheduled_fault::size, rc::gen::inRange(1, 60)));
+}
+
+void Apply(fleet& f, const scheduled_fault& fault_now) {
+  const uint64_t head = f.LogHead().id.number;
+  const std::string tag = std::to_string(f.now.count());
+  const auto size = static_cast<size_t>(fault_now.size);
+  switch (fault_now.kind) {
+    case fault::kCrash:
+      f.Crash(fault_now.node);
+      break;
+    case fault::kPause:
+      f.Pause(fault_now.node, millis(fault_now.size * kUnit));
+      break;
+    case fault::kCutOneWay:
+      f.Cut(fault_now.node, fault_now.other, true);
+      break;
+    case fault::kCutLog:
+      f.CutLog(fault_now.node, true);
+      break;
+    case fault::kStale:
+      f.log.stale_by = size % 4;
+      break;
+    case fault::kAway:
+      f.log.away = true;
+      break;
+    case fault::kTrim:
+      f.log.Trim(size % 8);
+      break;
+    case fault::kTruncate:
+      f.log.Reset(size % 4);
+      break;
+    case fault::kResetWhole:
+      f.log.ResetWhole();
+      break;
+    case fault::kDuplicate:
+      f.duplicate = true;
+      break;
+    case fault::kReorder:
+      f.reorder = true;
+      break;
+    case fault::kLoseAnswers:
+      f.lose_answers = true;
+      break;
+    case fault::kLoss:
+      f.loss = 0.2;
+      break;
+    case fault::kHeal:
+      f.HealNetwork();
+      break;
+    case fault::kRace:
+      f.Publish(TestRules(kLines, 0, "race" + tag), head);
+      [[fallthrough]];
+    case fault::kPublish:
+      f.Publish(TestRules(kLines, fault_now.size % kLines, tag), head,
+                fault_now.size % 2 == 0);
+      break;
+  }
+}
+
+// Returns what is wrong, or "". Breaches of config_forward throw.
+std::string RunSchedule(uint64_t seed, std::vector<scheduled_fault> faults) {
+  std::ranges::stable_sort(faults, {}, &scheduled_fault::at);
+  fleet f(kNodes, seed);
+  f.Publish(TestRules(kLines, 0, "first"), std::nullopt);
+  int at = 0;
+  for (const scheduled_fault& next : faults) {
+    f.Run(millis((next.at - at) * kUnit));
+    at = next.at;
+    Apply(f, next);
+  }
+  f.Run(millis(10 * kUnit));
+  f.HealNetwork();
+  return f.Converge(kLimit) ? "" : "no convergence on the log's head";
+}
+
+TEST_CASE("randomised schedules: no revision falls, all reach the log's head") {
+  SetBreachesFatal(true);
+  rc::detail::TestParams params = rc::detail::configuration().testParams;
+  params.maxSuccess = kSchedules;
+  params.maxSize = 20;
+  std::cout << "randomised schedules: RC_PARAMS=\"seed=" << params.seed
+            << "\", " << kSchedules << " schedules\n";
+  const auto property = [](uint64_t seed) {
+    const auto faults =
+        *rc::gen::container<std::vector<scheduled_fault>>(AnyFault());
+    const std::string failure = RunSchedule(seed, faults);
+    RC_LOG(failure);
+    RC_ASSERT(failure.empty());
+  };
+  const auto result = rc::detail::checkTestable(
+      property, rc::detail::TestMetadata{"schedules", ""}, params);
+  rc::detail::printResultMessage(result, std::cout);
+  std::cout << '\n';
+  CHECK(result.is<rc::detail::SuccessResult>());
+}
+
+}  // namespace
+}  // namespace peridotarch
