--- a/tests/standin/asio.h
+++ b/tests/standin/asio.h
@@ -1,11 +1,6 @@
 #ifndef STANDIN_ASIO_H_
 #define STANDIN_ASIO_H_
 
-// Boost.Asio 1.74 uses std::exchange and does not include its header.
-// clang-format off
-#include <utility>
-// clang-format on
-
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <chrono>
--- a/tests/standin/load_generator.cc
+++ b/tests/standin/load_generator.cc
@@ -30,7 +30,7 @@
 void SetField(request& message, std::string_view name,
               const std::string& value) {
   if (!value.empty()) {
-    message.set(boost::string_view(name.data(), name.size()), value);
+    message.set(beast::string_view(name.data(), name.size()), value);
   }
 }
 
--- a/tests/standin/upstream_instance.cc
+++ b/tests/standin/upstream_instance.cc
@@ -18,7 +18,7 @@
 constexpr double kColdFactor = 4;
 
 std::string Field(const request& message, std::string_view name) {
-  const auto found = message.find(boost::string_view(name.data(), name.size()));
+  const auto found = message.find(beast::string_view(name.data(), name.size()));
   return found == message.end() ? "" : std::string(found->value());
 }
 
