The ejection ledger's tests, and a floor broken by shared leases

Change: nothing is granted while the rights of others alone exceed the room. Faults that come to a zone or to most instances are a common cause: the reference is learnt anew and nothing is ejected; a slow zone gets work last.

--- a/judge/ejector.cc
+++ b/judge/ejector.cc
@@ -135,7 +135,12 @@
     if (!lease && allowed < view_.slots) {
       continue;
     }
-    // What is out by another's lease or is no capacity takes no room.
+    // What is out by another's lease or is no capacity takes no room, but when
+    // the others' rights alone exceed the room, each holder must give way: two
+    // that hold the same instance cannot see which of them does.
+    if (room < 0) {
+      break;
+    }
     const int cost =
         others.contains(each.instance) || !basis.contains(each.instance)
             ? 0
--- a/judge/evidence.cc
+++ b/judge/evidence.cc
@@ -98,6 +98,12 @@
   }
 }
 
+void evidence::Cap(double most) {
+  for (double& sum : sums_) {
+    sum = std::min(sum, most);
+  }
+}
+
 void evidence::Restart() {
   sums_.fill(0);
   good_ = 0;
--- a/judge/evidence.h
+++ b/judge/evidence.h
@@ -72,6 +72,9 @@
   /// Lets the evidence of an instance that gets no work fade.
   void Fade(millis now);
 
+  /// Lowers the sums to `most`: what was seen has another cause.
+  void Cap(double most);
+
   /// Forgets the sums, at the start of a probation.
   void Restart();
 
--- a/judge/judge.cc
+++ b/judge/judge.cc
@@ -18,14 +18,18 @@
   int good;  ///< Good answers that end a probation.
 };
 constexpr std::array<thresholds, 2> kThresholds = {{
-    {7.0, 20.0, 20},  // detection time
-    {9.0, 24.0, 10},  // false ejections
+    {10.0, 20.0, 20},  // detection time
+    {12.0, 24.0, 10},  // false ejections
 }};
 
 constexpr double kClearedShare = 0.25;  ///< Of the suspect score.
 constexpr double kUneasyShare = 0.4;    ///< Of the suspect score.
 constexpr double kProbationScore = 5.0;
 constexpr millis kSuspectAtLeast(500);
+constexpr millis kSuspectFirst(400);  ///< From suspicion to ejection.
+constexpr millis kCauseKept(2'000);
+constexpr double kZoneSlower = 2.5;
+constexpr double kZoneAlike = 1.7;
 constexpr millis kColdSpan(10'000);
 constexpr millis kHoldBase(5'000);
 constexpr millis kHoldMost(300'000);
@@ -42,6 +46,7 @@
 constexpr double kDoubtFailures = 0.2;
 constexpr double kDoubtShare = 0.7;
 constexpr double kTrustShare = 0.4;
+const std::string kWholeService;
 
 std::string Holder(const judge_identity& identity) {
   return identity.node + "/" + std::to_string(identity.incarnation) + "/" +
@@ -128,7 +133,7 @@
     return actions;
   }
   judged->facts.OnOutcome(attempt, ended, PeersOf(*judged, ended.route), now);
-  Learn(*judged, ended);
+  Learn(*judged, ended, now);
   if (ended.kind == outcome_kind::kOk) {
     judged->warm = true;
     judged->absent = false;
@@ -202,6 +207,8 @@
       each.facts.Fade(now);
     }
   }
+  FindCommonCauses(now);
+  FindSlowZones();
   JudgeSelf(actions);
   for (auto& [id, each] : instances_) {
     if (each.own) {
@@ -259,9 +266,12 @@
   const double score = judged.facts.Score();
   if (judged.sick) {
     JudgeProbation(judged, now);
-  } else if (score >= EjectScore() && MayEject(judged, now)) {
-    Condemn(judged, now);
-    ApplyRights(now, actions);
+  } else if (score >= EjectScore()) {
+    FindCommonCauses(now);
+    if (MayEject(judged, now)) {
+      Condemn(judged, now);
+      ApplyRights(now, actions);
+    }
   }
   if (score >= SuspectScore() && Silent(judged)) {
     AskOthers(judged, now, actions);
@@ -341,7 +351,10 @@
 }
 
 bool judge::MayEject(const instance& judged, millis now) const {
-  if (doubts_ || node_doubts_ || judged.absent || CommonCause(judged)) {
+  const bool suspect = judged.state == instance_state::kSuspect &&
+                       now - judged.changed >= kSuspectFirst;
+  if (!suspect || doubts_ || node_doubts_ || judged.absent ||
+      HasCommonCause(judged, now)) {
     return false;
   }
   if (!Silent(judged)) {
@@ -359,28 +372,100 @@
 
 // Faults that come to many at once, or to a whole zone, are not the instance's
 // own: the service, the zone's network or this node is at fault.
-bool judge::CommonCause(const instance& judged) const {
-  const double uneasy = SuspectScore() * kUneasyShare;
-  size_t zone_all = 0;
-  size_t zone_bad = 0;
-  size_t all = 0;
-  size_t bad = 0;
+void judge::FindCommonCauses(millis now) {
+  struct count {
+    size_t all = 0;
+    size_t bad = 0;
+  };
+  std::map<std::string_view, count> zones;
+  count service;
   for (const auto& [id, each] : instances_) {
     if (!each.own || each.absent || each.state == instance_state::kLeaving) {
       continue;
     }
-    const bool is_bad = each.sick || each.facts.Score() >= uneasy;
-    ++all;
-    bad += is_bad ? 1 : 0;
-    if (each.entry.zone == judged.entry.zone) {
-      ++zone_all;
-      zone_bad += is_bad ? 1 : 0;
+    const bool bad = each.sick || each.state == instance_state::kSuspect ||
+                     each.facts.Score() >= SuspectScore() * kUneasyShare;
+    for (count* counted : {&service, &zones[each.entry.zone]}) {
+      ++counted->all;
+      counted->bad += bad ? 1 : 0;
+    }
+  }
+  if (service.bad >= kFewest && service.bad * 2 > service.all) {
+    BeginCause(kWholeService, now);
+  }
+  for (const auto& [zone, counted] : zones) {
+    if (counted.bad >= 2 && counted.bad * 5 >= counted.all * 3) {
+      BeginCause(std::string(zone), now);
+    }
+  }
+  for (auto& [id, each] : instances_) {
+    if (each.own && !each.sick && HasCommonCause(each, now)) {
+      each.facts.Cap(SuspectScore());
+    }
+  }
+}
+
+// What the peers looked like before no longer tells; it is learnt anew.
+void judge::BeginCause(const std::string& zone, millis now) {
+  millis& until = causes_[zone];
+  if (until < now) {
+    for (auto& [name, peers] : references_) {
+      if (zone == kWholeService || name == zone) {
+        peers = {};
+      }
+    }
+  }
+  until = now + kCauseKept;
+}
+
+bool judge::HasCommonCause(const instance& judged, millis now) const {
+  for (const std::string* zone : {&kWholeService, &judged.entry.zone}) {
+    const auto it = causes_.find(*zone);
+    if (it != causes_.end() && it->second >= now) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// A zone that is slower than the others gets work last as a whole; ejecting
+// its instances one by one would take capacity for a fault that is not theirs.
+void judge::FindSlowZones() {
+  std::map<std::string, int64_t> medians;
+  for (const auto& [zone, size] : zone_sizes_) {
+    const auto peers = references_.find(zone);
+    int64_t sum = 0;
+    int64_t known = 0;
+    if (peers != references_.end()) {
+      for (const reference& each : peers->second) {
+        sum += each.ready() ? each.median_us() : 0;
+        known += each.ready() ? 1 : 0;
+      }
+    }
+    if (known > 0) {
+      medians[zone] = sum / known;
+    }
+  }
+  for (const auto& [zone, median] : medians) {
+    std::vector<int64_t> others;
+    for (const auto& [other, value] : medians) {
+      if (other != zone) {
+        others.push_back(value);
+      }
+    }
+    if (others.empty()) {
+      continue;
+    }
+    std::sort(others.begin(), others.end());
+    const auto usual = static_cast<double>(others[others.size() / 2]);
+    const bool was = slow_zones_.contains(zone);
+    const double bound = was ? kZoneAlike : kZoneSlower;
+    if (static_cast<double>(median) >= bound * usual) {
+      slow_zones_.insert(zone);
+    } else {
+      slow_zones_.erase(zone);
     }
   }
-  const bool most = bad >= kFewest && bad * 2 > all;
-  const bool zone =
-      zone_all >= 2 && zone_bad == zone_all && zone_all < all && zone_bad > 1;
-  return most || zone;
 }
 
 bool judge::Silent(const instance& judged) const {
@@ -505,7 +590,8 @@
   const double bound = judged.state == instance_state::kSuspect
                            ? SuspectScore() * kClearedShare
                            : SuspectScore();
-  if (judged.sick || judged.absent || score >= bound) {
+  if (judged.sick || judged.absent || score >= bound ||
+      slow_zones_.contains(judged.entry.zone)) {
     return instance_state::kSuspect;
   }
   return judged.warm || judged.known_from_start ? instance_state::kOpen
@@ -526,6 +612,8 @@
   std::string text = judged.facts.Describe();
   if (judged.absent) {
     text = "refuses connections";
+  } else if (slow_zones_.contains(judged.entry.zone)) {
+    text += ", its zone is slow";
   } else if (judged.reached + judged.unreached > 0 && Silent(judged)) {
     text += ", " + std::to_string(judged.reached) + " of " +
             std::to_string(judged.reached + judged.unreached) +
@@ -565,20 +653,26 @@
       return zone->second[route_class];
     }
   }
-  const auto service = references_.find("");
+  const auto service = references_.find(kWholeService);
   return service == references_.end() ? kNone : service->second[route_class];
 }
 
 // Work of instances under suspicion does not make the measure of health, unless
-// most are: then it is the measure that has to move.
-void judge::Learn(const instance& judged, const outcome& ended) {
-  if (judged.state != instance_state::kOpen && !CommonCause(judged)) {
-    return;
-  }
+// the cause is common: then it is the measure that has to move. A zone's own
+// measure also follows a zone that is slow as a whole.
+void judge::Learn(const instance& judged, const outcome& ended, millis now) {
+  const bool open = judged.state == instance_state::kOpen;
+  const bool common = HasCommonCause(judged, now);
+  const bool slow = slow_zones_.contains(judged.entry.zone);
   const size_t route_class = ended.route % kRouteClasses;
-  for (const std::string_view zone :
-       {std::string_view(), std::string_view(judged.entry.zone)}) {
-    reference& peers = references_[std::string(zone)][route_class];
+  for (const std::string* zone : {&kWholeService, &judged.entry.zone}) {
+    const bool counts = zone == &kWholeService
+                            ? open || common
+                            : open || common || (slow && !judged.sick);
+    if (!counts) {
+      continue;
+    }
+    reference& peers = references_[*zone][route_class];
     if (ended.kind == outcome_kind::kOk) {
       peers.AddAnswer(ended.latency_us);
     } else {
--- a/judge/judge.h
+++ b/judge/judge.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -199,7 +200,10 @@
   void CheckAbsence(instance& judged, millis now, judge_actions& actions);
   void AskOthers(instance& judged, millis now, judge_actions& actions);
   [[nodiscard]] bool MayEject(const instance& judged, millis now) const;
-  [[nodiscard]] bool CommonCause(const instance& judged) const;
+  void FindCommonCauses(millis now);
+  void BeginCause(const std::string& zone, millis now);
+  [[nodiscard]] bool HasCommonCause(const instance& judged, millis now) const;
+  void FindSlowZones();
   [[nodiscard]] bool Silent(const instance& judged) const;
   void JudgeSelf(judge_actions& actions);
   void ApplyRights(millis now, judge_actions& actions);
@@ -209,7 +213,7 @@
   [[nodiscard]] capacity_view View() const;
   [[nodiscard]] bool IsCapacity(const instance& judged) const;
   const reference& PeersOf(const instance& judged, uint32_t route) const;
-  void Learn(const instance& judged, const outcome& ended);
+  void Learn(const instance& judged, const outcome& ended, millis now);
   [[nodiscard]] double SuspectScore() const;
   [[nodiscard]] double EjectScore() const;
 
@@ -223,6 +227,10 @@
   std::map<std::string, std::array<reference, kRouteClasses>, std::less<>>
       references_;
   std::map<std::string, int, std::less<>> zone_sizes_;
+  /// Until when faults in a zone ("" for the whole service) are taken for a
+  /// common cause.
+  std::map<std::string, millis, std::less<>> causes_;
+  std::set<std::string, std::less<>> slow_zones_;
   millis wall_offset_;  ///< Wall clock less steady clock.
   bool listed_ = false;
   bool node_doubts_ = false;
--- a/tests/measure/judge_quality.cc
+++ b/tests/measure/judge_quality.cc
@@ -25,6 +25,15 @@
     {"tamega-field", 8, 4, 4, 20, 36, eject_weight::kDetectionTime, 0.5},
 };
 
+const std::vector<std::pair<std::string, weather>> kWeathers = {
+    {"calm", {0.003, false, false, false, false}},
+    {"pauses", {0.003, true, false, false, false}},
+    {"bursts", {0.003, false, true, false, false}},
+    {"slowdowns", {0.003, false, false, true, false}},
+    {"surges", {0.003, false, false, false, true}},
+    {"all of them", {0.005, true, true, true, true}},
+};
+
 struct samples {
   std::vector<double> seconds;
   int missed = 0;
@@ -146,13 +155,12 @@
 }
 
 void Compare(const service_size& size, const weather& sky, fault_kind fault,
-             int runs, int64_t end) {
+             int runs, int64_t end, std::string_view name) {
   samples ejected;
   const samples ours = RunOurs(size, sky, fault, runs, end, &ejected);
   const samples plain = RunBaseline(size, sky, fault, runs, end);
   std::printf("%-13s %-12s | %6s %6s | %6s %6s | %6s %6s | %8.1f %8.1f %8.1f\n",
-              size.name.c_str(),
-              std::string(kFaultNames[static_cast<size_t>(fault)]).c_str(),
+              size.name.c_str(), std::string(name).c_str(),
               ours.Quantile(0.5).c_str(), ours.Quantile(0.99).c_str(),
               ejected.Quantile(0.5).c_str(), ejected.Quantile(0.99).c_str(),
               plain.Quantile(0.5).c_str(), plain.Quantile(0.99).c_str(),
@@ -175,11 +183,12 @@
   for (const service_size& size : kSizes) {
     for (int kind = 1; kind < static_cast<int>(fault_kind::kCount); ++kind) {
       Compare(size, calm, static_cast<fault_kind>(kind), runs,
-              kOnset + kHorizon);
+              kOnset + kHorizon, kFaultNames[kind]);
+    }
+    const auto end = static_cast<int64_t>(hours * 3600) * kSecond;
+    for (const auto& [name, sky] : kWeathers) {
+      Compare(size, sky, fault_kind::kNone, 1, end, name);
     }
-    weather rough = {0.005, true, true, true, true};
-    Compare(size, rough, fault_kind::kNone, 1,
-            static_cast<int64_t>(hours * 3600) * kSecond);
   }
   std::printf("floor breaches: %llu\n",
               static_cast<unsigned long long>(Breaches(invariant::kFloor)));
