Daemon: no temporaries in awaited calls, which GCC 12 destroys twice

Cause: every proxy died at its first poll with 'munmap_chunk(): invalid pointer'; GCC 12 destroys class temporaries passed by value in an awaited call twice. Ruled out: lambdas with captures, which co_spawn keeps alive. Change: each such argument is a named variable that is moved.

--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -58,7 +58,8 @@
       if (read.refused) {
         call_result refused = Refusal(*read.refused);
         here->measures.CountReply(refused.why, refused.said);
-        co_await session.Write(ToReply(std::move(refused)), false);
+        http_response reply = ToReply(std::move(refused));
+        co_await session.Write(std::move(reply), false);
       }
       break;
     }
@@ -67,9 +68,12 @@
     here->in_flight.fetch_add(1);
     const bool check = IsReadyCheck(*read.request);
     const bool keep = read.request->keep_alive();
-    http_response reply =
-        check ? ReadyReply(*here)
-              : co_await AnswerCaller(*here, std::move(*read.request));
+    http_response reply;
+    if (check) {
+      reply = ReadyReply(*here);
+    } else {
+      reply = co_await AnswerCaller(*here, std::move(*read.request));
+    }
     const bool more = co_await session.Write(std::move(reply),
                                              keep && !here->draining.load());
     here->in_flight.fetch_sub(1);
--- a/proxy/control.cc
+++ b/proxy/control.cc
@@ -26,6 +26,7 @@
 
 namespace {
 
+const std::string kStream(kConfigStream);
 constexpr int kPageRecords = 256;
 constexpr millis kReplicaTick(100);
 constexpr millis kHostsInterval(500);
@@ -152,9 +153,8 @@
   bool failed = false;
   log_page page;
   try {
-    page =
-        co_await log_.Read(std::string(kConfigStream), what.from, kPageRecords,
-                           what.wait ? replica::kReadWait : millis(0));
+    page = co_await log_.Read(kStream, what.from, kPageRecords,
+                              what.wait ? replica::kReadWait : millis(0));
   } catch (const platform_error&) {
     failed = true;
   }
@@ -177,8 +177,9 @@
         {"chain",
          ToHex(what.have.chain)}}.dump();
     try {
-      std::string answer = co_await from->CallRpc(
-          RpcRequest("config_fetch", params), kFetchTimeout);
+      std::string request = RpcRequest("config_fetch", params);
+      const std::string answer =
+          co_await from->CallRpc(std::move(request), kFetchTimeout);
       const auto result = nlohmann::json::parse(RpcResult(answer));
       bytes = FromBase64(result.at("bytes").get<std::string>());
     } catch (const error&) {
@@ -193,7 +194,7 @@
 
 awaitable<void> control::AppendConfig(append_record what) {
   try {
-    co_await log_.Append(std::string(kConfigStream), what.data);
+    co_await log_.Append(kStream, what.data);
   } catch (const platform_error&) {
     // The replica sees by reading whether the record is there.
   }
@@ -251,8 +252,8 @@
   }
   log_away_ = away;
   node_->events.Add(wall_clock::Now(),
-                    away ? event_kind::kLogAway : event_kind::kLogBack,
-                    std::string(kConfigStream), "");
+                    away ? event_kind::kLogAway : event_kind::kLogBack, kStream,
+                    "");
   LOG(WARNING) << (away ? "the log does not answer" : "the log answers again");
 }
 
--- a/proxy/owner_shard.cc
+++ b/proxy/owner_shard.cc
@@ -122,7 +122,11 @@
       refused.said = now.attempts_said;
       co_return refused;
     }
-    if (submission != 0 && !co_await claims_->Holds(submission)) {
+    bool holds = true;
+    if (submission != 0) {
+      holds = co_await claims_->Holds(submission);
+    }
+    if (!holds) {
       scheduler_.Release(id, steady_clock::Now());
       Pump();
       call_result lost = Refusal(reason::kKeyOutcomeUnknown);
--- a/proxy/peer_session.cc
+++ b/proxy/peer_session.cc
@@ -73,13 +73,14 @@
     }
     const std::string target(read.request->target());
     if (target == kHelloTarget) {
-      if (!co_await session.Write(TextReply(http::status::ok, nonce), true)) {
+      http_response hello = TextReply(http::status::ok, nonce);
+      if (!co_await session.Write(std::move(hello), true)) {
         break;
       }
       continue;
     }
     if (target == "/metrics") {
-      auto text = TextReply(http::status::ok, here->registry.ToText());
+      http_response text = TextReply(http::status::ok, here->registry.ToText());
       if (!co_await session.Write(std::move(text), true)) {
         break;
       }
@@ -87,7 +88,8 @@
     }
     if (!HasMark(marks, *read.request)) {
       here->measures.inner_refused.Add();
-      co_await session.Write(TextReply(http::status::forbidden, ""), false);
+      http_response refused = TextReply(http::status::forbidden, "");
+      co_await session.Write(std::move(refused), false);
       break;
     }
     here->in_flight.fetch_add(1);
