--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -1,12 +1,13 @@
 #include "cli/bench.h"
 #include "cli/command.h"
+#include "cli/config_commands.h"
 #include "cli/status.h"
 #include "cli/timeline.h"
 
 namespace peridotarch {
 
 const std::vector<command>& Commands() {
-  static const std::vector<command> table = {
+  static const std::vector<command> table = WithConfigCommands({
       {"status", "",
        "Each service's capacity against its floor, and each proxy",
        "Asks every proxy in the host list. For each service: healthy slots, "
@@ -35,7 +36,7 @@
        "  --repeat N   run N times and compare, 1 to 1000\n\n"
        "Exit codes: 0; 1 two repeats differ; 2 settings.\n",
        BenchCommand},
-  };
+  });
   return table;
 }
 
