--- a/scripts/lib/site_of_user.py
+++ b/scripts/lib/site_of_user.py
@@ -80,6 +80,21 @@
         for _ in range(self.proxy_count):
             self.add_proxy(announce=False)
         self.announce()
+        self._wait_listed()
+
+    def _wait_listed(self, timeout_s=10):
+        """Waits until the lagging list shows every proxy and each of them
+        answers."""
+        until = time.monotonic() + timeout_s
+        while time.monotonic() < until:
+            listed = {host["id"] for host in
+                      web.get(self.hosts_port, "/hosts")["hosts"]}
+            if listed >= set(self.proxies) and all(
+                    web.read_metrics(proxy.inner_port)
+                    for proxy in self.proxies.values()):
+                return
+            time.sleep(0.05)
+        raise RuntimeError(f"{self.user.name}: proxies do not answer")
 
     def add_proxy(self, announce=True):
         """Starts a proxy under a new name and new ports."""
