Choose the reply to a readiness check without a conditional co_await

Cause: GCC 12 copies the temporary of a conditional expression that holds a co_await byte by byte; the first readiness check aborted the daemon (munmap_chunk: invalid pointer, in the destructor of the reply's body). Change: an if statement in place of the conditional expression.

--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -67,9 +67,13 @@
     here->in_flight.fetch_add(1);
     const bool check = IsReadyCheck(*read.request);
     const bool keep = read.request->keep_alive();
-    http_response reply =
-        check ? ReadyReply(*here)
-              : co_await AnswerCaller(*here, std::move(*read.request));
+    // Not one conditional expression: GCC 12 copies its temporary byte by byte.
+    http_response reply;
+    if (check) {
+      reply = ReadyReply(*here);
+    } else {
+      reply = co_await AnswerCaller(*here, std::move(*read.request));
+    }
     const bool more = co_await session.Write(std::move(reply),
                                              keep && !here->draining.load());
     here->in_flight.fetch_sub(1);
