--- a/judge/membership.cc
+++ b/judge/membership.cc
@@ -108,9 +108,9 @@
 std::vector<membership_action> membership::Tick(millis now) {
   std::vector<membership_action> actions;
   CheckProbes(now, actions);
-  Sweep(now);
   if (now >= next_probe_ && !leaving_) {
     next_probe_ = now + kProbeInterval;
+    Sweep(now);
     ProbeNext(now, actions);
   }
   if (now >= next_sync_ && !leaving_) {
@@ -276,7 +276,11 @@
   }
   entry& held = it->second;
   if (!Supersedes(heard, held.record)) {
+    const uint64_t revision = held.record.revision;
     KeepNewerRevision(held.record, heard);
+    if (held.record.revision != revision) {
+      rumours_.AddRevision({ShortHash(heard.id), held.record.revision});
+    }
     return false;
   }
   const member_record before = std::exchange(held.record, heard);
@@ -472,7 +476,9 @@
 }
 
 void membership::Sweep(millis now) {
+  live_ = 0;
   for (auto& [id, each] : members_) {
+    live_ += IsLive(each.record) ? 1 : 0;
     if (each.record.state == member_state::kSuspect &&
         now >= each.confirmed_by) {
       each.record.state = member_state::kDead;
@@ -608,7 +614,7 @@
   if (it != members_.end() && it->second.record.state != member_state::kAlive) {
     message.members.push_back(it->second.record);
   }
-  const auto size = static_cast<double>(LiveCount() + 1);
+  const auto size = static_cast<double>(live_ + 1);
   rumours_.Fill(message, 4 + static_cast<int>(std::log2(size)));
   return message;
 }
@@ -646,14 +652,6 @@
   return digests;
 }
 
-size_t membership::LiveCount() const {
-  size_t count = 0;
-  for (const auto& [id, each] : members_) {
-    count += IsLive(each.record) ? 1 : 0;
-  }
-  return count;
-}
-
 // Long enough for the suspicion to reach its subject and the refutation to come
 // back; both take a number of rounds that grows with the logarithm of the
 // fleet.
--- a/judge/membership.h
+++ b/judge/membership.h
@@ -163,7 +163,6 @@
   gossip_message ComposeFor(gossip_kind kind, const std::string& receiver);
   std::vector<const entry*> PickLive(size_t count, std::string_view except);
   std::vector<uint32_t> BucketDigests() const;
-  [[nodiscard]] size_t LiveCount() const;
   [[nodiscard]] millis SuspicionSpan() const;
 
   member_record self_;
@@ -176,6 +175,7 @@
   std::unordered_map<uint64_t, relay> relays_;
   rumours rumours_;
   std::deque<bool> answered_;  ///< Outcomes of the latest probes.
+  size_t live_ = 0;  ///< Nodes not gone, as of the latest sweep.
   int health_ = 0;  ///< Local health: zero is good, kWorstHealth is bad.
   bool judge_doubts_ = false;
   bool leaving_ = false;
