Judgement in the daemon: suspects, ejections through the log, second opinions, status

Cause: a gray instance kept its work; nothing fed the judge. Change: each shard feeds its judge with the outcomes of real work and carries out its actions; the control loops read the ledger, pass on opinions and words of leaving, and answer status and timeline. One enum of instance states; no two types share a name.

--- a/proxy/admin.cc
+++ b/proxy/admin.cc
@@ -5,11 +5,13 @@
 
 #include "core/error.h"
 #include "core/hash.h"
+#include "inner/report.h"
 #include "inner/rpc/rpc_error.h"
 #include "inner/rpc/rpc_server.h"
 #include "platform/base64.h"
 #include "proxy/control.h"
 #include "proxy/node.h"
+#include "proxy/owner_shard.h"
 
 namespace peridotarch {
 
@@ -48,6 +50,31 @@
   }
 }
 
+node_status Status(const node& here, const control& loops) {
+  const revision_id& id = loops.config().in_force().id;
+  node_status status;
+  status.node = here.settings.node;
+  status.zone = here.settings.zone;
+  status.incarnation = here.incarnation;
+  status.revision = id.number;
+  status.digest = ToHex(id.chain);
+  status.doubts_itself = here.doubts.load();
+  status.log_reachable = !loops.log_away();
+  for (const member& known : loops.fleet().Members()) {
+    ++status.members;
+    if (known.record.state == member_state::kSuspect) {
+      status.suspects.push_back(known.record.id);
+    }
+  }
+  const auto fleet = here.fleet.Load();
+  for (const auto& shard : here.owners.All()) {
+    if (IsOwnedHere(*fleet, shard->service(), shard->index())) {
+      status.shards.push_back(shard->Status());
+    }
+  }
+  return status;
+}
+
 }  // namespace
 
 std::unique_ptr<rpc_server> MakeAdmin(node& here, control& loops) {
@@ -57,7 +84,15 @@
   methods->Register("config_fetch", [&loops](const std::string& params) {
     return ConfigFetch(loops, params);
   });
-  static_cast<void>(here);
+  methods->Register("status", [&here, &loops](const std::string&) {
+    node_status status = Status(here, loops);
+    status.at = here.events.clock().Next(wall_clock::Now());
+    return EncodeStatus(status);
+  });
+  methods->Register("timeline", [&here](const std::string& params) {
+    return EncodeEvents(here.events.Events(),
+                        DecodeTimelineQuery(params).since);
+  });
   return methods;
 }
 
--- a/proxy/control.cc
+++ b/proxy/control.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/verb.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -31,6 +33,11 @@
 constexpr millis kReplicaTick(100);
 constexpr millis kHostsInterval(500);
 constexpr millis kFetchTimeout(1000);
+constexpr millis kLedgerWait(500);
+constexpr millis kRetryPause(200);
+constexpr millis kProbeTimeout(500);
+constexpr int kHttp11 = 11;
+const std::string kLedgerStream = "ejections";
 
 member_record SelfRecord(const node& here) {
   member_record self;
@@ -81,6 +88,8 @@
     : node_(std::move(here)),
       strand_(asio::make_strand(node_->context)),
       log_(strand_, {node_->settings.log_host, node_->settings.log_port}),
+      ledger_log_(strand_,
+                  {node_->settings.log_host, node_->settings.log_port}),
       host_source_(strand_,
                    {node_->settings.hosts_host, node_->settings.hosts_port}),
       replica_(ReplicaSettings(*node_)),
@@ -93,9 +102,11 @@
 
 void control::Start() {
   const auto self = shared_from_this();
+  SetPort();
   Spawn(strand_, self, [](control& me) { return me.TickReplica(); });
   Spawn(strand_, self, [](control& me) { return me.TickMembership(); });
   Spawn(strand_, self, [](control& me) { return me.PollHosts(); });
+  Spawn(strand_, self, [](control& me) { return me.ReadLedger(); });
   Spawn(strand_, self, [](control& me) {
     return me.gossip_.Receive(
         [&me](const gossip_message& message) { me.OnGossip(message); });
@@ -131,6 +142,7 @@
   for (;;) {
     gossip_.Send(membership_.Tick(steady_clock::Now()));
     NoteChanges();
+    PassOnWords();
     co_await Sleep(strand_, kMembershipTick);
   }
 }
@@ -149,6 +161,60 @@
   }
 }
 
+awaitable<void> control::ReadLedger() {
+  uint64_t from = 0;
+  for (;;) {
+    bool failed = false;
+    try {
+      log_page page = co_await ledger_log_.Read(kLedgerStream, from,
+                                                kPageRecords, kLedgerWait);
+      from = std::max(from, page.first);
+      if (page.next < from) {
+        from = page.first;  // the log was reset
+      }
+      for (log_record& record : page.records) {
+        from = std::max(from, record.offset + 1);
+        node_->ledger.Add(std::move(record));
+      }
+      node_->ledger.SetAway(from < page.next);
+    } catch (const platform_error&) {
+      failed = true;
+    }
+    if (failed) {
+      node_->ledger.SetAway(true);
+      co_await Sleep(strand_, kRetryPause);
+    }
+  }
+}
+
+awaitable<void> control::AppendLedger(std::string record) {
+  try {
+    co_await ledger_log_.Append(kLedgerStream, record);
+  } catch (const platform_error&) {
+    // The shard sees by reading whether the record is there.
+  }
+}
+
+// Probes an instance for a peer that cannot judge whether it is the instance
+// or its own path to it that fails.
+awaitable<void> control::AnswerOpinion(membership_action answer) {
+  for (opinion_note& note : answer.message.opinions) {
+    http_client client(strand_, {note.address, note.port});
+    http_request request(boost::beast::http::verb::get, "/_health", kHttp11);
+    const millis begun = steady_clock::Now();
+    try {
+      co_await client.Exchange(std::move(request), kProbeTimeout);
+      note.reached = true;
+    } catch (const platform_error&) {
+      note.reached = false;
+    }
+    note.latency = steady_clock::Now() - begun;
+  }
+  std::vector<membership_action> answers;
+  answers.push_back(std::move(answer));
+  gossip_.Send(std::move(answers));
+}
+
 awaitable<void> control::ReadConfig(read_log what) {
   bool failed = false;
   log_page page;
@@ -301,6 +367,64 @@
   const auto before = node_->fleet.Load();
   node_->fleet.Store(MakeFleetView(*config, std::move(nodes), peers_,
                                    node_->settings.node, *before));
+  RefreshOwnership();
+}
+
+// Sets up the shards that this node owns, and takes the rights from those that
+// it runs for another owner.
+void control::RefreshOwnership() {
+  const auto fleet = node_->fleet.Load();
+  for (const auto& [service, shards] : fleet->services) {
+    for (size_t index = 0; index < shards.size(); ++index) {
+      if (shards[index].has_owner && !shards[index].owner) {
+        node_->owners.Get(service, static_cast<int>(index));
+      }
+    }
+  }
+  for (const auto& shard : node_->owners.All()) {
+    shard->SetOwned(IsOwnedHere(*fleet, shard->service(), shard->index()));
+  }
+}
+
+void control::PassOnWords() {
+  const std::vector<leaving_note> leaving = membership_.TakeLeaving();
+  const std::vector<opinion_note> opinions = membership_.TakeOpinions();
+  bool doubts = false;
+  for (const auto& shard : node_->owners.All()) {
+    doubts = doubts || shard->Doubts();
+    for (const leaving_note& note : leaving) {
+      shard->OnLeaving(note);
+    }
+    for (const opinion_note& note : opinions) {
+      shard->OnOpinion(note);
+    }
+  }
+  membership_.SetDoubts(doubts);
+  node_->doubts.store(membership_.Doubts());
+  for (membership_action& asked : membership_.TakeOpinionRequests()) {
+    Spawn(strand_, shared_from_this(),
+          [asked](control& me) { return me.AnswerOpinion(asked); });
+  }
+}
+
+// The shards call these from their own strands.
+void control::SetPort() {
+  const auto self = shared_from_this();
+  node_->port.append_ejections = [self](std::string record) {
+    Spawn(self->strand_, self,
+          [record](control& me) { return me.AppendLedger(record); });
+  };
+  node_->port.ask_opinions = [self](opinion_note note) {
+    asio::post(self->strand_, [self, note] {
+      self->gossip_.Send(
+          self->membership_.AskOpinions(note, steady_clock::Now()));
+    });
+  };
+  node_->port.note_leaving = [self](leaving_note note) {
+    asio::post(self->strand_, [self, note] {
+      self->membership_.NoteLeaving(note, steady_clock::Now());
+    });
+  };
 }
 
 void control::RefreshShards() {
--- a/proxy/control.h
+++ b/proxy/control.h
@@ -38,11 +38,15 @@
   /// What the methods of the JSON-RPC interface read, on the control strand.
   [[nodiscard]] const replica& config() const { return replica_; }
   [[nodiscard]] const membership& fleet() const { return membership_; }
+  [[nodiscard]] bool log_away() const { return log_away_; }
 
  private:
   awaitable<void> TickReplica();
   awaitable<void> TickMembership();
   awaitable<void> PollHosts();
+  awaitable<void> ReadLedger();
+  awaitable<void> AppendLedger(std::string record);
+  awaitable<void> AnswerOpinion(membership_action answer);
   awaitable<void> ReadConfig(read_log what);
   awaitable<void> FetchConfig(fetch_from_peer what);
   awaitable<void> AppendConfig(append_record what);
@@ -57,10 +61,14 @@
   void NoteChanges();
   void RebuildView();
   void RefreshShards();
+  void RefreshOwnership();
+  void PassOnWords();
+  void SetPort();
 
   std::shared_ptr<node> node_;
   strand strand_;
   http_log log_;
+  http_log ledger_log_;
   http_hosts host_source_;
   replica replica_;
   membership membership_;
--- a/proxy/fleet_view.cc
+++ b/proxy/fleet_view.cc
@@ -27,6 +27,17 @@
 
 }  // namespace
 
+bool IsOwnedHere(const fleet_view& view, const std::string& service,
+                 int shard) {
+  const auto known = view.services.find(service);
+  if (known == view.services.end() ||
+      static_cast<size_t>(shard) >= known->second.size()) {
+    return false;
+  }
+  const shard_route& route = known->second[static_cast<size_t>(shard)];
+  return route.has_owner && !route.owner;
+}
+
 std::shared_ptr<const fleet_view> MakeFleetView(const config_snapshot& config,
                                                 std::vector<node_view> nodes,
                                                 const peer_table& peers,
--- a/proxy/fleet_view.h
+++ b/proxy/fleet_view.h
@@ -29,6 +29,9 @@
   std::unordered_map<std::string, std::vector<shard_route>> services;
 };
 
+/// Returns whether this node owns the shard.
+bool IsOwnedHere(const fleet_view& view, const std::string& service, int shard);
+
 /// Peers by node id.
 using peer_table = std::unordered_map<std::string, std::shared_ptr<peer>>;
 
--- a/proxy/node.h
+++ b/proxy/node.h
@@ -11,7 +11,9 @@
 #include "core/rcu_cell.h"
 #include "core/timeline.h"
 #include "platform/host.h"
+#include "proxy/control_port.h"
 #include "proxy/fleet_view.h"
+#include "proxy/ledger_feed.h"
 #include "proxy/meters.h"
 #include "proxy/owner_table.h"
 #include "proxy/settings.h"
@@ -32,9 +34,12 @@
   rcu_cell<fleet_view> fleet;
   rcu_cell<host_list> hosts;
   owner_table owners;
+  ledger_feed ledger;
+  control_port port;
   std::atomic<bool> draining = false;
   std::atomic<bool> isolated = false;
-  std::atomic<int> in_flight = 0;  ///< Requests of callers and peers.
+  std::atomic<bool> doubts = false;  ///< Membership says so.
+  std::atomic<int> in_flight = 0;    ///< Requests of callers and peers.
   std::atomic<uint64_t> next_request = 0;
 };
 
--- a/proxy/owner_shard.cc
+++ b/proxy/owner_shard.cc
@@ -26,6 +26,7 @@
 
 constexpr millis kTick(20);
 constexpr millis kCancelTimeout(100);
+constexpr millis kProbeTimeout(500);
 // A run that the owner gave up keeps its slot for this long, unless the
 // instance said that it ended.
 constexpr millis kDetachedRun(1000);
@@ -36,7 +37,15 @@
     : node_(parent),
       strand_(asio::make_strand(parent.context)),
       service_(std::move(service)),
-      index_(index) {}
+      index_(index),
+      judge_(parent, service_, index, [this](std::string instance) {
+        asio::co_spawn(
+            strand_,
+            [self = shared_from_this(), instance] {
+              return self->Probe(instance);
+            },
+            asio::detached);
+      }) {}
 
 owner_shard::~owner_shard() = default;
 
@@ -65,6 +74,27 @@
   });
 }
 
+void owner_shard::SetOwned(bool owned) {
+  asio::post(strand_, [self = shared_from_this(), owned] {
+    self->judge_.SetOwned(owned);
+    self->ApplyInstances();
+  });
+}
+
+void owner_shard::OnLeaving(leaving_note note) {
+  asio::post(strand_, [self = shared_from_this(), note = std::move(note)] {
+    self->judge_.OnLeaving(note);
+    self->TickJudge();
+  });
+}
+
+void owner_shard::OnOpinion(opinion_note opinion) {
+  asio::post(strand_,
+             [self = shared_from_this(), opinion = std::move(opinion)] {
+               self->judge_.OnOpinion(opinion);
+             });
+}
+
 awaitable<call_result> owner_shard::RunHere(forwarded_call call,
                                             http_request request) {
   run now;
@@ -134,7 +164,7 @@
       lost.said = Combine(now.attempts_said, lost.said);
       co_return lost;
     }
-    attempt_result attempt = co_await Attempt(now, slot.instance);
+    attempt_result attempt = co_await Attempt(now, slot.instance, id);
     const verdict said = JudgeAttempt(attempt.end);
     now.attempts_said = Combine(now.attempts_said, said);
     now.latest = ReasonOf(attempt.end);
@@ -150,7 +180,7 @@
       ++now.sheds;
       scheduler_.NoteShed(slot.instance, steady_clock::Now());
     }
-    NoteEnd(slot.instance, attempt);
+    TickJudge();
     Pump();
     if (now.latest == reason::kAnswered) {
       call_result answered;
@@ -181,7 +211,8 @@
 }
 
 awaitable<attempt_result> owner_shard::Attempt(run& now,
-                                               const std::string& instance) {
+                                               const std::string& instance,
+                                               ticket ticket_id) {
   ++now.attempts;
   node_.measures.attempts.Add();
   const auto link = links_.at(instance);
@@ -189,14 +220,17 @@
   const std::string id = now.call.id + "." + std::to_string(now.attempts);
   now.request.set(kAttemptHeader, id);
   now.request.set(kDeadlineHeader, std::to_string(left.count()));
+  judge_.OnStart(instance, ticket_id, now.call);
   const auto begun = std::chrono::steady_clock::now();
   attempt_result result =
       co_await link->Send(now.request, std::max(left, millis(1)));
   const auto spent = std::chrono::steady_clock::now() - begun;
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(spent).count();
   if (result.end.ended == attempt_ending::kAnswered) {
-    node_.measures.upstream_time.Record(static_cast<uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(spent).count()));
+    node_.measures.upstream_time.Record(static_cast<uint64_t>(micros));
   }
+  judge_.OnEnd(instance, ticket_id, now.call, result, micros);
   if (result.end.ended == attempt_ending::kTimeout) {
     co_await CancelLate(*link, id, result);
   }
@@ -213,16 +247,14 @@
   result.end.cancel = co_await link.Cancel(attempt, kCancelTimeout);
 }
 
-void owner_shard::NoteEnd(const std::string& instance,
-                          const attempt_result& result) {
-  if (!result.draining) {
-    return;
-  }
-  const auto known = instances_.find(instance);
-  if (known != instances_.end()) {
-    known->second.state = instance_state::kLeaving;
-    ApplyInstances();
+awaitable<void> owner_shard::Probe(std::string instance) {
+  const auto link = links_.find(instance);
+  if (link == links_.end()) {
+    co_return;
   }
+  const auto kept = link->second;
+  const bool answered = co_await kept->Probe(kProbeTimeout);
+  judge_.OnProbe(instance, answered);
 }
 
 bool owner_shard::MayRetry(const run& now) {
@@ -232,7 +264,7 @@
   known.retries_made = now.attempts - 1;
   known.retries_allowed = now.call.retries;
   known.time_left = now.deadline - steady_clock::Now();
-  known.shed_everywhere = now.sheds >= static_cast<int>(instances_.size());
+  known.shed_everywhere = now.sheds >= static_cast<int>(links_.size());
   return DecideRetry(known, budget_) == retry_decision::kRetry;
 }
 
@@ -250,55 +282,38 @@
 awaitable<void> owner_shard::TickRegularly() {
   for (;;) {
     co_await Sleep(strand_, kTick);
+    TickJudge();
     Pump();
+    judge_.Publish(scheduler_);
   }
 }
 
+void owner_shard::TickJudge() {
+  if (judge_.Tick()) {
+    ApplyInstances();
+  }
+  doubts_.store(judge_.Doubts());
+}
+
 void owner_shard::ApplyHosts(const host_list& hosts,
                              const config_snapshot& config) {
-  const service_rule* rule = config.Service(service_);
-  if (rule == nullptr) {
-    return;
-  }
-  const int count = ShardCount(rule->floor);
-  std::map<std::string, instance_view> next;
-  for (const host& entry : hosts.hosts) {
-    if (entry.service != service_ ||
-        ShardOfInstance(service_, entry.id, count) != index_) {
-      continue;
-    }
-    auto& link = links_[entry.id];
+  judge_.SetHosts(hosts, config);
+  for (const auto& [id, entry] : judge_.entries()) {
+    auto& link = links_[id];
     if (!link || link->where().incarnation != entry.incarnation ||
         link->where().port != entry.port ||
         link->where().address != entry.address) {
       link = std::make_shared<upstream_link>(strand_, entry);
     }
-    instance_view view;
-    view.id = entry.id;
-    view.zone = entry.zone;
-    view.slots = rule->slots_per_instance;
-    const auto known = instances_.find(entry.id);
-    if (known != instances_.end()) {
-      view.state = known->second.state;
-    }
-    if (entry.state == host_state::kLeaving) {
-      view.state = instance_state::kLeaving;
-    }
-    next.emplace(entry.id, std::move(view));
   }
-  instances_ = std::move(next);
   std::erase_if(links_, [&](const auto& link) {
-    return !instances_.contains(link.first);
+    return !judge_.entries().contains(link.first);
   });
   ApplyInstances();
 }
 
 void owner_shard::ApplyInstances() {
-  std::vector<instance_view> views;
-  views.reserve(instances_.size());
-  for (const auto& [id, view] : instances_) {
-    views.push_back(view);
-  }
+  const std::vector<instance_view> views = judge_.Views();
   scheduler_.SetInstances(views, steady_clock::Now());
   Pump();
 }
--- a/proxy/owner_shard.h
+++ b/proxy/owner_shard.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_OWNER_SHARD_H_
 #define PROXY_OWNER_SHARD_H_
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
@@ -12,9 +13,9 @@
 #include "platform/host.h"
 #include "proxy/call.h"
 #include "proxy/executor.h"
+#include "proxy/shard_judge.h"
 #include "proxy/wait_cell.h"
 #include "request/call_info.h"
-#include "request/instance_view.h"
 #include "request/retry_budget.h"
 #include "request/shard.h"
 
@@ -44,6 +45,22 @@
   void SetHosts(std::shared_ptr<const host_list> hosts,
                 std::shared_ptr<const config_snapshot> config);
 
+  /// Says whether this node owns the shard; callable from any thread.
+  void SetOwned(bool owned);
+
+  /// Takes in peers' words; callable from any thread.
+  void OnLeaving(leaving_note note);
+  void OnOpinion(opinion_note opinion);
+
+  [[nodiscard]] const std::string& service() const { return service_; }
+  [[nodiscard]] int index() const { return index_; }
+
+  /// Returns the state of the shard; safe on any thread.
+  [[nodiscard]] shard_status Status() const { return judge_.Status(); }
+
+  /// Most of the shard's instances fail from here; safe on any thread.
+  [[nodiscard]] bool Doubts() const { return doubts_.load(); }
+
  private:
   /// One request while the shard works on it.
   struct run {
@@ -61,13 +78,15 @@
   awaitable<call_result> RunKeyed(run& now);
   awaitable<call_result> RunAttempts(run& now, uint64_t submission);
   awaitable<shard_action> WaitForSlot(ticket id, const run& now);
-  awaitable<attempt_result> Attempt(run& now, const std::string& instance);
+  awaitable<attempt_result> Attempt(run& now, const std::string& instance,
+                                    ticket id);
   awaitable<void> CancelLate(upstream_link& link, const std::string& attempt,
                              attempt_result& result);
   awaitable<void> TickRegularly();
-  void NoteEnd(const std::string& instance, const attempt_result& result);
+  awaitable<void> Probe(std::string instance);
   bool MayRetry(const run& now);
   void Pump();
+  void TickJudge();
   void ApplyHosts(const host_list& hosts, const config_snapshot& config);
   void ApplyInstances();
 
@@ -79,7 +98,8 @@
   shard scheduler_;
   retry_budget budget_;
   std::map<std::string, std::shared_ptr<upstream_link>> links_;
-  std::map<std::string, instance_view> instances_;
+  shard_judge judge_;
+  std::atomic<bool> doubts_ = false;
   std::unordered_map<ticket, wait_cell<shard_action>*> waiting_;
   ticket next_ticket_ = 1;
 };
--- a/request/instance_view.h
+++ b/request/instance_view.h
@@ -1,18 +1,13 @@
 #ifndef REQUEST_INSTANCE_VIEW_H_
 #define REQUEST_INSTANCE_VIEW_H_
 
-#include <array>
 #include <string>
-#include <string_view>
 
 #include "core/instance_state.h"
 #include "core/millis.h"
-#include "core/names.h"
 
 namespace peridotarch {
 
-};
-
 /// An instance of the shard's service as the owner's other parts see it.
 struct instance_view {
   std::string id;
