--- a/request/team_limit.cc
+++ b/request/team_limit.cc
@@ -12,7 +12,7 @@
 constexpr double kMicrosPerSecond = 1e6;
 // Part of the limit that is divided equally, so that a node that saw no request
 // in the last period can admit some in the next.
-constexpr double kEqualPart = 0.2;
+constexpr double kEqualPart = 0.1;
 
 }  // namespace
 
