--- a/request/bench.cc
+++ b/request/bench.cc
@@ -32,8 +32,10 @@
 };
 
 void RunShard(random_bits& random, fold& out) {
+  constexpr int kInstances = 6;
   std::vector<instance_view> views;
-  for (int i = 0; i < 6; ++i) {
+  views.reserve(kInstances);
+  for (int i = 0; i < kInstances; ++i) {
     views.push_back({"i" + std::to_string(i), "z" + std::to_string(i % 3), 3,
                      instance_state::kOpen, millis()});
   }
@@ -118,8 +120,10 @@
 }
 
 void RunOwners(fold& out) {
+  constexpr int kNodes = 36;
   std::vector<node_view> nodes;
-  for (int i = 0; i < 36; ++i) {
+  nodes.reserve(kNodes);
+  for (int i = 0; i < kNodes; ++i) {
     nodes.push_back({"n" + std::to_string(i), "z", 1, true});
   }
   for (int service = 0; service < 150; ++service) {
