--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -68,6 +68,7 @@
     here->in_flight.fetch_add(1);
     const bool check = IsReadyCheck(*read.request);
     const bool keep = read.request->keep_alive();
+    // Not one conditional expression: GCC 12 copies its temporary byte by byte.
     http_response reply;
     if (check) {
       reply = ReadyReply(*here);
