--- a/scripts/lib/site_of_user.py
+++ b/scripts/lib/site_of_user.py
@@ -160,12 +160,16 @@
         self.processes.kill(name)
 
     def wait_ready(self, timeout_s=20):
-        """Waits until every proxy is ready; returns the names of those that
-        are not."""
+        """Waits until every proxy is ready, also for the balancer; returns
+        the names of those that are not."""
         until = time.monotonic() + timeout_s
         late = list(self.proxies.values())
         while late and time.monotonic() < until:
-            late = [proxy for proxy in late if not web.is_ready(proxy.port)]
+            ready = {one["backend"] for one in
+                     web.get(self.balancer_control, "/") if one["ready"]}
+            late = [proxy for proxy in late
+                    if f"127.0.0.1:{proxy.port}" not in ready
+                    or not web.is_ready(proxy.port)]
             time.sleep(0.05)
         return [proxy.name for proxy in late]
 
@@ -212,6 +216,12 @@
     def load_summary(self, name):
         return self.directory / f"{self.name(name)}.summary.json"
 
+    def busiest(self, service):
+        """Returns the number of the instance that has run the most work."""
+        stats = web.get(self.control_of[service], "/_stats")
+        counts = [one["runs"] for one in stats]
+        return counts.index(max(counts))
+
     def upstream_fault(self, service, instance, **fault):
         web.post(self.control_of[service], "/_faults",
                  {"instance": f"{service}-{instance}", **fault})
@@ -243,6 +253,8 @@
                 if page["next"] == at:
                     break
                 at = page["next"]
+        path = self.directory / f"{self.name('runs')}.json"
+        path.write_text(json.dumps(runs))
         return runs
 
     def instances(self):
