--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -58,7 +58,8 @@
       if (read.refused) {
         call_result refused = Refusal(*read.refused);
         here->measures.CountReply(refused.why, refused.said);
-        co_await session.Write(ToReply(std::move(refused)), false);
+        http_response reply = ToReply(std::move(refused));
+        co_await session.Write(std::move(reply), false);
       }
       break;
     }
--- a/proxy/owner_shard.cc
+++ b/proxy/owner_shard.cc
@@ -92,6 +92,7 @@
   const claim_outcome claim = co_await claims_->Claim(*key, left);
   if (!claim.won) {
     call_result refused = Refusal(claim.why);
+    refused.said = RequestVerdict(refused.said, key_knowledge::kUnknown);
     refused.key_status = claim.status;
     co_return refused;
   }
@@ -122,7 +123,11 @@
       refused.said = now.attempts_said;
       co_return refused;
     }
-    if (submission != 0 && !co_await claims_->Holds(submission)) {
+    bool holds = true;
+    if (submission != 0) {
+      holds = co_await claims_->Holds(submission);
+    }
+    if (!holds) {
       scheduler_.Release(id, steady_clock::Now());
       Pump();
       call_result lost = Refusal(reason::kKeyOutcomeUnknown);
