One instance_state for judge, request and reports

Cause: judge and request each defined peridotarch::instance_state, with ejected and probation in another order, and fold_result; linked into one program that is undefined behaviour, and names or numbers of states could be swapped. Found by scripts/install_test, which compiles all installed headers in one unit. Change: core/instance_state.h holds the enum, its names and CountsAsCapacity; inner/report uses it in place of a copy; the claim table's result is claim_fold.

--- a/cli/status_text.cc
+++ b/cli/status_text.cc
@@ -79,7 +79,7 @@
   }
   size_t open = 0;
   for (const instance_status& each : service.instances) {
-    if (each.state == reported_state::kOpen) {
+    if (each.state == instance_state::kOpen) {
       ++open;
       continue;
     }
--- a/inner/report.cc
+++ b/inner/report.cc
@@ -40,7 +40,7 @@
   instance_status of;
   of.id = value.at("id").get<std::string>();
   of.zone = value.at("zone").get<std::string>();
-  of.state = EnumFrom<reported_state>(value.at("state"));
+  of.state = EnumFrom<instance_state>(value.at("state"));
   of.reason = value.at("reason").get<std::string>();
   of.slots = value.at("slots").get<int>();
   of.busy = value.at("busy").get<int>();
@@ -115,12 +115,6 @@
 
 }  // namespace
 
-// A suspect still takes work when no other can, so its slots count; cold and
-// probationary instances take only part of their share, so theirs do not.
-bool CountsAsCapacity(reported_state state) {
-  return state == reported_state::kOpen || state == reported_state::kSuspect;
-}
-
 std::string EncodeStatus(const node_status& status) {
   json shards = json::array();
   for (const shard_status& each : status.shards) {
--- a/inner/report.h
+++ b/inner/report.h
@@ -8,38 +8,18 @@
 #include <vector>
 
 #include "core/hybrid_clock.h"
+#include "core/instance_state.h"
 #include "core/millis.h"
 #include "core/names.h"
 #include "core/timeline.h"
 
 namespace peridotarch {
 
-/// What a node reports of an instance; the names are those of the request
-/// package's states.
-enum class reported_state {
-  kOpen,
-  kCold,
-  kSuspect,
-  kProbation,
-  kEjected,
-  kLeaving
-};
-
-template <>
-struct names_of<reported_state> {
-  static constexpr std::array<std::string_view, 6> kTable = {
-      "open", "cold", "suspect", "probation", "ejected", "leaving"};
-};
-
-/// Returns whether the slots of an instance in this state count as healthy
-/// capacity.
-bool CountsAsCapacity(reported_state state);
-
 /// One instance, reported by the owner of its shard.
 struct instance_status {
   std::string id;
   std::string zone;
-  reported_state state = reported_state::kOpen;
+  instance_state state = instance_state::kOpen;
   std::string reason;  ///< Why it is not open: the evidence, in a few words.
   int slots = 0;
   int busy = 0;  ///< Slots in use.
--- a/judge/judge.h
+++ b/judge/judge.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "config/rules.h"
+#include "core/instance_state.h"
 #include "core/millis.h"
 #include "core/names.h"
 #include "core/timeline.h"
@@ -24,22 +25,6 @@
 
 namespace peridotarch {
 
-/// How the owner's scheduler treats an instance.
-enum class instance_state {
-  kOpen,       ///< Gets work.
-  kCold,       ///< New: gets work, a little at first; is no capacity yet.
-  kSuspect,    ///< Gets work last, and a trickle of idempotent work.
-  kEjected,    ///< Gets no work.
-  kProbation,  ///< Ejected, but for a trickle of idempotent work.
-  kLeaving,    ///< Gets no new work, for good.
-};
-
-template <>
-struct names_of<instance_state> {
-  static constexpr std::array<std::string_view, 6> kTable = {
-      "open", "cold", "suspect", "ejected", "probation", "leaving"};
-};
-
 /// The scheduler sends one idempotent request at a time, and at most one each
 /// such interval, to an instance that is suspect or in probation.
 inline constexpr millis kTrickleInterval(50);
--- a/request/claim_table.cc
+++ b/request/claim_table.cc
@@ -12,8 +12,8 @@
 
 // A page is contiguous with what was folded before, or a gap is noted. A
 // replica that lags behind our position has nothing to tell.
-fold_result claim_table::Fold(const log_page& page, millis wall) {
-  fold_result result;
+claim_fold claim_table::Fold(const log_page& page, millis wall) {
+  claim_fold result;
   if (page.next < position_) {
     return result;
   }
--- a/request/claim_table.h
+++ b/request/claim_table.h
@@ -31,7 +31,7 @@
 };
 
 /// What a page held for the writers of its records.
-struct fold_result {
+struct claim_fold {
   std::vector<claim_id> lost;     ///< Claims that do not hold their key.
   std::vector<claim_id> records;  ///< Writer and number of each record.
 };
@@ -44,7 +44,7 @@
 
   /// Folds a page that was read from position(). Pages of a replica that lags
   /// are ignored. `wall` is this node's clock.
-  fold_result Fold(const log_page& page, millis wall);
+  claim_fold Fold(const log_page& page, millis wall);
 
   /// Returns the offset to read from next.
   [[nodiscard]] uint64_t position() const { return position_; }
--- a/request/claimer.cc
+++ b/request/claimer.cc
@@ -103,7 +103,7 @@
 void claimer::AppendEnded() { in_flight_ = false; }
 
 void claimer::Read(const log_page& page, millis now, millis wall) {
-  const fold_result result = table_.Fold(page, wall);
+  const claim_fold result = table_.Fold(page, wall);
   NoteWritten(result.records);
   NoteLost(result.lost);
   ForgetWrittenNotes();
--- a/tests/cli/fleet_status_test.cc
+++ b/tests/cli/fleet_status_test.cc
@@ -18,7 +18,7 @@
   return node;
 }
 
-instance_status Instance(const std::string& id, reported_state state) {
+instance_status Instance(const std::string& id, instance_state state) {
   instance_status of;
   of.id = id;
   of.state = state;
@@ -36,16 +36,16 @@
                           2,
                           9,
                           1,
-                          {Instance("p-2", reported_state::kEjected),
-                           Instance("p-1", reported_state::kOpen)}}}),
+                          {Instance("p-2", instance_state::kEjected),
+                           Instance("p-1", instance_state::kOpen)}}}),
                    Node("n2", 10, 4,
                         {{"payout",
                           1,
                           2,
                           9,
                           2,
-                          {Instance("p-3", reported_state::kSuspect),
-                           Instance("p-4", reported_state::kLeaving)}}})},
+                          {Instance("p-3", instance_state::kSuspect),
+                           Instance("p-4", instance_state::kLeaving)}}})},
                   {{"n3", "connection refused"}});
   REQUIRE(fleet.newest_revision == 5);
   REQUIRE(fleet.nodes_behind == 1);
@@ -71,7 +71,7 @@
 TEST_CASE("an unreported shard makes the capacity a bound, not a breach") {
   const auto fleet = MergeStatus(
       {Node("n1", 10, 5,
-            {{"payout", 1, 2, 9, 0, {Instance("p", reported_state::kOpen)}}})},
+            {{"payout", 1, 2, 9, 0, {Instance("p", instance_state::kOpen)}}})},
       {});
   const service_summary& service = fleet.services.front();
   REQUIRE(service.unreported == std::vector<int>{0});
@@ -81,9 +81,9 @@
 
 TEST_CASE("of two owners of a shard the later report counts") {
   const shard_status older = {
-      "payout", 0, 1, 3, 0, {Instance("p", reported_state::kOpen)}};
+      "payout", 0, 1, 3, 0, {Instance("p", instance_state::kOpen)}};
   const shard_status newer = {
-      "payout", 0, 1, 3, 0, {Instance("p", reported_state::kEjected)}};
+      "payout", 0, 1, 3, 0, {Instance("p", instance_state::kEjected)}};
   for (const bool newer_first : {true, false}) {
     std::vector<node_status> nodes = {Node("n1", 20, 1, {newer}),
                                       Node("n2", 10, 1, {older})};
--- a/tests/fuzz/write_seeds.cc
+++ b/tests/fuzz/write_seeds.cc
@@ -96,7 +96,7 @@
                     2,
                     12,
                     3,
-                    {{"p-1", "a", reported_state::kEjected, "errors", 3, 1}}}};
+                    {{"p-1", "a", instance_state::kEjected, "errors", 3, 1}}}};
   Write(directory + "/status", EncodeStatus(status));
   Write(directory + "/events",
         EncodeEvents({{{kNow, 1}, "n", event_kind::kLogBack, "log", "back"}}));
--- a/tests/inner/report_test.cc
+++ b/tests/inner/report_test.cc
@@ -27,7 +27,7 @@
        2,
        12,
        3,
-       {{"p-1", "a", reported_state::kEjected, "9 of 14 \"failed\"", 3, 1}}}};
+       {{"p-1", "a", instance_state::kEjected, "9 of 14 \"failed\"", 3, 1}}}};
   return status;
 }
 
@@ -67,11 +67,11 @@
 }
 
 TEST_CASE("only slots that take their whole share count as capacity") {
-  REQUIRE(CountsAsCapacity(reported_state::kOpen));
-  REQUIRE(CountsAsCapacity(reported_state::kSuspect));
+  REQUIRE(CountsAsCapacity(instance_state::kOpen));
+  REQUIRE(CountsAsCapacity(instance_state::kSuspect));
   for (const auto state :
-       {reported_state::kCold, reported_state::kProbation,
-        reported_state::kEjected, reported_state::kLeaving}) {
+       {instance_state::kCold, instance_state::kProbation,
+        instance_state::kEjected, instance_state::kLeaving}) {
     REQUIRE_FALSE(CountsAsCapacity(state));
   }
 }
