--- a/cli/bench.cc
+++ b/cli/bench.cc
@@ -11,6 +11,8 @@
 #include "core/exit_code.h"
 #include "core/fold.h"
 #include "inner/bench.h"
+#include "judge/bench.h"
+#include "request/bench.h"
 
 namespace peridotarch {
 
@@ -21,10 +23,14 @@
 /// The scenarios of one package.
 struct bench_part {
   std::string_view name;
-  uint64_t (*run)();
+  uint64_t (*run)(uint64_t seed);
 };
 
-constexpr std::array kParts = {bench_part{"inner", BenchInner}};
+constexpr uint64_t kSeed = 1;
+
+constexpr std::array kParts = {bench_part{"inner", BenchInner},
+                               bench_part{"request", BenchRequest},
+                               bench_part{"judge", BenchJudge}};
 
 // Times go to `err`, so that the output of two runs is equal when the
 // decisions are.
@@ -32,7 +38,7 @@
   fold all;
   for (const bench_part& part : kParts) {
     const auto start = std::chrono::steady_clock::now();
-    const uint64_t value = part.run();
+    const uint64_t value = part.run(kSeed);
     const std::chrono::duration<double, std::milli> passed =
         std::chrono::steady_clock::now() - start;
     all.Add(value);
--- a/inner/bench.cc
+++ b/inner/bench.cc
@@ -27,11 +27,11 @@
 }
 
 // 36 nodes own 200 keys while nodes are replaced one after the other.
-void FoldOwnership(fold& into) {
+void FoldOwnership(uint64_t seed, fold& into) {
   constexpr int kNodes = 36;
   constexpr int kKeys = 200;
   constexpr int kReplacements = 40;
-  random_bits random(1);
+  random_bits random(seed);
   std::vector<std::string> nodes;
   for (int i = 0; i < kNodes; ++i) {
     nodes.push_back("node-" + std::to_string(i));
@@ -45,10 +45,10 @@
 }
 
 // Messages of one sender arrive late, twice, changed or in another order.
-void FoldReplay(fold& into) {
+void FoldReplay(uint64_t seed, fold& into) {
   constexpr int kMessages = 2000;
   constexpr millis kWindow(5000);
-  random_bits random(2);
+  random_bits random(seed);
   sealer seal("a fleet key of the bench", "node-1/1");
   unsealer open("a fleet key of the bench", kWindow);
   std::vector<std::string> sent;
@@ -70,9 +70,9 @@
 }
 
 // Three processes with clocks that differ and step back exchange times.
-void FoldHybridTimes(fold& into) {
+void FoldHybridTimes(uint64_t seed, fold& into) {
   constexpr int kSteps = 3000;
-  random_bits random(3);
+  random_bits random(seed);
   hybrid_clock clocks[3];
   hybrid_time last[3];
   for (int i = 0; i < kSteps; ++i) {
@@ -87,11 +87,11 @@
 
 }  // namespace
 
-uint64_t BenchInner() {
+uint64_t BenchInner(uint64_t seed) {
   fold all;
-  FoldOwnership(all);
-  FoldReplay(all);
-  FoldHybridTimes(all);
+  FoldOwnership(seed, all);
+  FoldReplay(seed + 1, all);
+  FoldHybridTimes(seed + 2, all);
   return all.value();
 }
 
--- a/inner/report.cc
+++ b/inner/report.cc
@@ -115,12 +115,6 @@
 
 }  // namespace
 
-// A suspect still takes work when no other can, so its slots count; cold and
-// probationary instances take only part of their share, so theirs do not.
-bool CountsAsCapacity(instance_state state) {
-  return state == instance_state::kOpen || state == instance_state::kSuspect;
-}
-
 std::string EncodeStatus(const node_status& status) {
   json shards = json::array();
   for (const shard_status& each : status.shards) {
--- a/inner/report.h
+++ b/inner/report.h
@@ -15,10 +15,6 @@
 
 namespace peridotarch {
 
-/// Returns whether the slots of an instance in this state count as healthy
-/// capacity.
-bool CountsAsCapacity(instance_state state);
-
 /// One instance, reported by the owner of its shard.
 struct instance_status {
   std::string id;
