--- a/request/slot_table.cc
+++ b/request/slot_table.cc
@@ -13,12 +13,10 @@
          state == instance_state::kSuspect;
 }
 
-// A trial that is due goes first, else probation would never end.
-int Rank(instance_state state) {
-  if (state == instance_state::kProbation) {
-    return 0;
-  }
-  return state == instance_state::kSuspect ? 2 : 1;
+// Whether the instance is judged by a trickle of idempotent work.
+bool OnTrial(instance_state state) {
+  return state == instance_state::kProbation ||
+         state == instance_state::kSuspect;
 }
 
 }  // namespace
@@ -77,8 +75,8 @@
   Check(instance.view.state != instance_state::kLeaving, invariant::kLeaving);
   ++instance.busy;
   Check(instance.busy <= instance.view.slots, invariant::kSlots);
-  if (instance.view.state == instance_state::kProbation) {
-    instance.next_trial = now + limits_.probation_interval;
+  if (OnTrial(instance.view.state)) {
+    instance.next_trial = now + limits_.trial_interval;
   }
   ++taken_;
 }
@@ -169,11 +167,23 @@
   });
 }
 
-// Suspects go last; then the share of slots in use, then the caller's zone.
+// A trial that is due goes first: without work, neither suspicion nor probation
+// would end.
+int slot_table::Rank(const instance_slots& instance, const call_info& call,
+                     millis now) const {
+  if (OnTrial(instance.view.state) && call.idempotent && instance.busy == 0 &&
+      now >= instance.next_trial) {
+    return 0;
+  }
+  return instance.view.state == instance_state::kSuspect ? 2 : 1;
+}
+
+// Trials first and suspects last; then the share of slots in use, then the
+// caller's zone.
 bool slot_table::Before(const instance_slots& left, const instance_slots& right,
                         const call_info& call, millis now) const {
-  const int left_rank = Rank(left.view.state);
-  const int right_rank = Rank(right.view.state);
+  const int left_rank = Rank(left, call, now);
+  const int right_rank = Rank(right, call, now);
   if (left_rank != right_rank) {
     return left_rank < right_rank;
   }
--- a/request/slot_table.h
+++ b/request/slot_table.h
@@ -16,8 +16,8 @@
 
 /// When instances get work.
 struct slot_limits {
-  millis cold_ramp = millis(10'000);          ///< From the first slot to all.
-  millis probation_interval = millis(1'000);  ///< Between trial requests.
+  millis cold_ramp = millis(10'000);   ///< From the first slot to all.
+  millis trial_interval = millis(50);  ///< Between trial requests.
   millis shed_backoff = millis(50);  ///< Without new work after a shed answer.
 };
 
@@ -75,6 +75,8 @@
   [[nodiscard]] bool CanTake(const instance_slots& instance,
                              const call_info& call, millis now) const;
   [[nodiscard]] bool HasOther(const std::string& excluded) const;
+  [[nodiscard]] int Rank(const instance_slots& instance, const call_info& call,
+                         millis now) const;
   [[nodiscard]] bool Before(const instance_slots& left,
                             const instance_slots& right, const call_info& call,
                             millis now) const;
--- /dev/null
+++ b/tests/platform/http_client_test.cc
@@ -0,0 +1,72 @@
+#include "platform/http_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace peridotarch {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+// Answers each request on one connection with its own target.
+awaitable<void> Echo(tcp::acceptor& acceptor) {
+  boost::beast::tcp_stream stream(
+      co_await acceptor.async_accept(asio::use_awaitable));
+  boost::beast::flat_buffer buffer;
+  for (;;) {
+    http_request request;
+    boost::system::error_code failure;
+    co_await http::async_read(
+        stream, buffer, request,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      break;
+    }
+    http_response answer(http::status::ok, 11);
+    answer.body() = std::string(request.target());
+    answer.prepare_payload();
+    co_await http::async_write(
+        stream, answer, asio::redirect_error(asio::use_awaitable, failure));
+  }
+}
+
+TEST_CASE("calls made at once share the connection, each with its own answer") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  asio::co_spawn(context, Echo(acceptor), asio::detached);
+  http_client client(context.get_executor(),
+                     {"127.0.0.1", acceptor.local_endpoint().port()});
+  constexpr int kCalls = 20;
+  int own_answers = 0;
+  int ended = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    asio::co_spawn(
+        context,
+        [&, i]() -> awaitable<void> {
+          const std::string target = "/" + std::to_string(i);
+          http_request request(http::verb::get, target, 11);
+          const http_response answer =
+              co_await client.Exchange(std::move(request), millis(2000));
+          own_answers += answer.body() == target ? 1 : 0;
+          if (++ended == kCalls) {
+            context.stop();
+          }
+        },
+        asio::detached);
+  }
+  context.run_for(std::chrono::seconds(5));
+  REQUIRE(own_answers == kCalls);
+}
+
+}  // namespace
+}  // namespace peridotarch
