--- a/config/rule_reader.cc
+++ b/config/rule_reader.cc
@@ -72,7 +72,7 @@
     allowed += (allowed.empty() ? "" : ", ") + std::string(p.keyword);
   }
   if (properties.empty()) {
-    allowed = "end of line";
+    allowed = "the rule's comment";
   }
   while (next_ < split_.words.size()) {
     const word found = split_.words[next_++];
--- a/judge/judge.h
+++ b/judge/judge.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "config/rules.h"
+#include "core/instance_state.h"
 #include "core/millis.h"
 #include "core/names.h"
 #include "core/timeline.h"
@@ -23,22 +25,6 @@
 
 namespace peridotarch {
 
-/// How the owner's scheduler treats an instance.
-enum class instance_state {
-  kOpen,       ///< Gets work.
-  kCold,       ///< New: gets work, a little at first; is no capacity yet.
-  kSuspect,    ///< Gets work last, and a trickle of idempotent work.
-  kEjected,    ///< Gets no work.
-  kProbation,  ///< Ejected, but for a trickle of idempotent work.
-  kLeaving,    ///< Gets no new work, for good.
-};
-
-template <>
-struct names_of<instance_state> {
-  static constexpr std::array<std::string_view, 6> kTable = {
-      "open", "cold", "suspect", "ejected", "probation", "leaving"};
-};
-
 /// The scheduler sends one idempotent request at a time, and at most one each
 /// such interval, to an instance that is suspect or in probation.
 inline constexpr millis kTrickleInterval(50);
@@ -199,7 +185,10 @@
   void CheckAbsence(instance& judged, millis now, judge_actions& actions);
   void AskOthers(instance& judged, millis now, judge_actions& actions);
   [[nodiscard]] bool MayEject(const instance& judged, millis now) const;
-  [[nodiscard]] bool CommonCause(const instance& judged) const;
+  void FindCommonCauses(millis now);
+  void BeginCause(const std::string& zone, millis now);
+  [[nodiscard]] bool HasCommonCause(const instance& judged, millis now) const;
+  void FindSlowZones();
   [[nodiscard]] bool Silent(const instance& judged) const;
   void JudgeSelf(judge_actions& actions);
   void ApplyRights(millis now, judge_actions& actions);
@@ -209,7 +198,7 @@
   [[nodiscard]] capacity_view View() const;
   [[nodiscard]] bool IsCapacity(const instance& judged) const;
   const reference& PeersOf(const instance& judged, uint32_t route) const;
-  void Learn(const instance& judged, const outcome& ended);
+  void Learn(const instance& judged, const outcome& ended, millis now);
   [[nodiscard]] double SuspectScore() const;
   [[nodiscard]] double EjectScore() const;
 
@@ -223,6 +212,10 @@
   std::map<std::string, std::array<reference, kRouteClasses>, std::less<>>
       references_;
   std::map<std::string, int, std::less<>> zone_sizes_;
+  /// Until when faults in a zone ("" for the whole service) are taken for a
+  /// common cause.
+  std::map<std::string, millis, std::less<>> causes_;
+  std::set<std::string, std::less<>> slow_zones_;
   millis wall_offset_;  ///< Wall clock less steady clock.
   bool listed_ = false;
   bool node_doubts_ = false;
