--- a/inner/bench.h
+++ b/inner/bench.h
@@ -8,7 +8,7 @@
 /// Folds seeded scenarios of the packages core and inner into one number:
 /// ownership by rendezvous hashing under replacement, replay windows under
 /// reordering, and the order of hybrid times.
-uint64_t BenchInner();
+uint64_t BenchInner(uint64_t seed);
 
 }  // namespace peridotarch
 
--- a/request/instance_view.h
+++ b/request/instance_view.h
@@ -1,13 +1,10 @@
 #ifndef REQUEST_INSTANCE_VIEW_H_
 #define REQUEST_INSTANCE_VIEW_H_
 
-#include <array>
 #include <string>
-#include <string_view>
 
 #include "core/instance_state.h"
 #include "core/millis.h"
-#include "core/names.h"
 
 namespace peridotarch {
 
