--- a/inner/gossip.cc
+++ b/inner/gossip.cc
@@ -4,6 +4,7 @@
 #include <type_traits>
 
 #include "core/error.h"
+#include "core/hash.h"
 
 namespace peridotarch {
 
@@ -147,6 +148,10 @@
 
 }  // namespace
 
+uint32_t ShortHash(std::string_view id) {
+  return static_cast<uint32_t>(Hash64(id));
+}
+
 std::string Encode(const gossip_message& message) {
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, message);
--- a/inner/gossip.h
+++ b/inner/gossip.h
@@ -58,9 +58,18 @@
   bool operator==(const member_record&) const = default;
 };
 
+/// The node is not known to be gone.
+inline bool IsLive(const member_record& record) {
+  return record.state == member_state::kAlive ||
+         record.state == member_state::kSuspect;
+}
+
+/// Names a node in a revision note: the low half of the hash of its id.
+uint32_t ShortHash(std::string_view id);
+
 /// A node's revision in force, in short form.
 struct revision_note {
-  uint32_t node = 0;  ///< Low half of the hash of the node's id.
+  uint32_t node = 0;  ///< ShortHash of the node's id.
   uint64_t revision = 0;
 
   bool operator==(const revision_note&) const = default;
