Fault run reads revisions and floors from the operators' status

Cause: the proxies publish no metric of the revision in force, so the run reported 'null' for each. Change: the watch and the check at the end read 'peridotarch status'. Conclusion: the scripts report real faults of the daemon; none is eased. No functional change to what ships.

--- a/scripts/lib/fault_report.py
+++ b/scripts/lib/fault_report.py
@@ -49,6 +49,10 @@
         self._judge_end(site, sends)
         self._judge_connections(site)
         self.counts[user] = found.counts
+        found.counts["status answers of the operators' command"] = (
+            site.status_answers)
+        found.counts["of these, services below their floor"] = len(
+            site.below_floor)
         self.steps[user] = site.schedule.steps
         self.series[user] = self._per_second(site, sends)
         self.detection[user] = self._detection(site, runs)
--- a/scripts/lib/faulty_site.py
+++ b/scripts/lib/faulty_site.py
@@ -37,6 +37,8 @@
         self.busy = set()
         self.highest = {}
         self.reverted = []
+        self.below_floor = []
+        self.status_answers = 0
         self.breaches = {}
         self.events = {}
         self.stop = threading.Event()
@@ -74,7 +76,6 @@
         finally:
             self.stop.set()
             self.threads[2].join()
-        self.final["status"] = self.site.revisions()
         self.final["in_force"] = self._in_force()
 
     def _sleep_until(self, at):
@@ -244,6 +245,7 @@
             for proxy in list(self.site.proxies.values()):
                 if proxy.name not in self.busy:
                     self._read(proxy)
+            self._read_status()
             self._read_events()
 
     def _read(self, proxy):
@@ -251,21 +253,32 @@
         for name, value in samples.items():
             if "invariant_breaches_total" in name and value > 0:
                 self.breaches[f"{proxy.name} {name}"] = value
-        revision = self._revision_of(samples)
-        if revision is None:
-            return
-        key = (proxy.name, self.site.incarnation[proxy.name])
-        if revision < self.highest.get(key, 0):
-            self.reverted.append({"proxy": key, "to": revision,
-                                  "from": self.highest[key]})
-        self.highest[key] = max(revision, self.highest.get(key, 0))
-
-    @staticmethod
-    def _revision_of(samples):
-        for name, value in samples.items():
-            if name.startswith("peridotarch_revision_in_force"):
-                return value
-        return None
+
+    def _read_status(self):
+        """Notes revisions that fall and services below their floor."""
+        known = dict(self.site.incarnation)
+        status = self._status()
+        for node in status.get("nodes", ()):
+            name = node["node"]
+            if known.get(name) != self.site.incarnation.get(name):
+                continue  # Which of its two processes answered is unknown.
+            key = f"{name} {self.site.incarnation.get(name)}"
+            before = self.highest.get(key, 0)
+            if node["revision"] < before:
+                self.reverted.append({"process": key, "from": before,
+                                      "to": node["revision"]})
+            self.highest[key] = max(before, node["revision"])
+        self.status_answers += bool(status.get("nodes"))
+        self.below_floor += [service["service"] for service in
+                             status.get("services", ())
+                             if service["below_floor"]]
+
+    def _status(self):
+        _, output = self.site.command("status")
+        try:
+            return json.loads(output[:output.rfind("}") + 1])
+        except json.JSONDecodeError:
+            return {}
 
     def _read_events(self):
         code, output = self.site.command("timeline", "--since", "4s")
@@ -278,9 +291,9 @@
         """Waits a little for all proxies to agree; returns what they have."""
         until = time.monotonic() + 5
         while True:
-            have = {proxy.name: self._revision_of(
-                web.read_metrics(proxy.inner_port))
-                for proxy in self.site.proxies.values()}
+            have = {node["node"]: node["revision"]
+                    for node in self._status().get("nodes", ())}
+            have = {name: have.get(name) for name in self.site.proxies}
             if len(set(have.values())) == 1 or time.monotonic() > until:
                 return have
             time.sleep(0.2)
--- a/scripts/lib/site_of_user.py
+++ b/scripts/lib/site_of_user.py
@@ -1,6 +1,5 @@
 """One user's platform stand-ins, upstreams and proxies as real processes."""
 
-import http.client
 import json
 import subprocess
 import time
@@ -273,11 +272,3 @@
                 if "invariant_breaches_total" in name and value > 0:
                     total[name] = total.get(name, 0) + value
         return total, answering
-
-    def revisions(self):
-        """Returns {proxy: revision in force} as the operators see it."""
-        code, output = self.command("status")
-        try:
-            return code, json.loads(output)
-        except (json.JSONDecodeError, http.client.HTTPException):
-            return code, {"text": output}
