--- a/inner/bench.cc
+++ b/inner/bench.cc
@@ -33,6 +33,7 @@
   constexpr int kReplacements = 40;
   random_bits random(seed);
   std::vector<std::string> nodes;
+  nodes.reserve(kNodes);
   for (int i = 0; i < kNodes; ++i) {
     nodes.push_back("node-" + std::to_string(i));
   }
