--- a/cli/status_text.cc
+++ b/cli/status_text.cc
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 constexpr int kIdColumn = 20;
-constexpr int kShortColumn = 10;
+constexpr int kShortColumn = 16;
 
 std::string Joined(const std::vector<std::string>& words) {
   std::string text;
@@ -84,7 +84,7 @@
       continue;
     }
     out << "  " << std::left << std::setw(kIdColumn) << each.id
-        << std::setw(kShortColumn) << each.zone << std::setw(kShortColumn + 2)
+        << std::setw(kShortColumn) << each.zone << std::setw(kShortColumn)
         << ToName(each.state) << each.reason << '\n';
   }
   out << "  open: " << open << " of " << service.instances.size()
