--- a/config/words.cc
+++ b/config/words.cc
@@ -4,13 +4,14 @@
 #include <charconv>
 #include <numeric>
 
+#include "core/span_text.h"
+
 namespace peridotarch {
 
 namespace {
 
-constexpr size_t kMaxQuoted = 60;       // bytes shown of a word
-constexpr size_t kMaxCompared = 64;     // bytes of a word that has a nearest
-constexpr int64_t kMaxCount = 1 << 30;  // largest number before its unit
+constexpr size_t kMaxQuoted = 60;    // bytes shown of a word
+constexpr size_t kMaxCompared = 64;  // bytes of a word that has a nearest
 
 bool IsBlank(char c) { return c == ' ' || c == '\t'; }
 
@@ -114,23 +115,7 @@
 }
 
 std::optional<millis> ReadDuration(std::string_view text) {
-  struct unit {
-    std::string_view suffix;
-    int64_t length;  // milliseconds
-  };
-  constexpr unit kUnits[] = {
-      {"ms", 1}, {"s", 1000}, {"m", 60'000}, {"h", 3'600'000}};
-  for (const unit& u : kUnits) {
-    if (!text.ends_with(u.suffix)) {
-      continue;
-    }
-    const auto count =
-        ReadNumber(text.substr(0, text.size() - u.suffix.size()));
-    if (count && *count <= kMaxCount) {
-      return millis(*count * u.length);
-    }
-  }
-  return std::nullopt;
+  return ParseSpan(text, millis(0), millis(INT64_MAX));
 }
 
 std::string Quoted(std::string_view text) {
