--- a/proxy/control.cc
+++ b/proxy/control.cc
@@ -74,6 +74,19 @@
   return id;
 }
 
+// When every node doubts itself, the doubt says nothing about any of them.
+void MakeSomeEligible(std::vector<node_view>& nodes) {
+  const bool some =
+      std::any_of(nodes.begin(), nodes.end(),
+                  [](const node_view& node) { return node.eligible; });
+  if (some) {
+    return;
+  }
+  for (node_view& node : nodes) {
+    node.eligible = true;
+  }
+}
+
 // Runs a member coroutine of `self` on its strand, detached.
 template <typename Self, typename Make>
 void Spawn(const strand& on, std::shared_ptr<Self> self, Make make) {
@@ -285,6 +298,8 @@
 void control::Do(put_in_force action) {
   const revision_id id = action.next.id;
   node_->config.Store(action.next.snapshot);
+  node_->teams.Store(
+      MakeTeamTable(*action.next.snapshot, *node_->teams.Load()));
   membership_.SetRevision(id.number, HeadOf(id.chain));
   node_->events.Add(wall_clock::Now(), event_kind::kRevisionInForce, ToText(id),
                     "published by " + action.next.author);
@@ -364,6 +379,7 @@
                                     node_->settings.fleet_key);
     }
   }
+  MakeSomeEligible(nodes);
   const auto before = node_->fleet.Load();
   node_->fleet.Store(MakeFleetView(*config, std::move(nodes), peers_,
                                    node_->settings.node, *before));
--- a/proxy/entry.cc
+++ b/proxy/entry.cc
@@ -1,6 +1,7 @@
 #include "proxy/entry.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "config/snapshot.h"
@@ -59,6 +60,17 @@
   return refused;
 }
 
+// Returns after which time a team that is above its limit may try again.
+std::optional<millis> ChargeTeam(node& here, const http_request& request) {
+  const auto teams = here.teams.Load();
+  const auto bucket = teams->find(std::string(request[kTeamHeader]));
+  const millis now = steady_clock::Now();
+  if (bucket == teams->end() || bucket->second->Charge(now)) {
+    return std::nullopt;
+  }
+  return bucket->second->RetryAfter(now);
+}
+
 awaitable<call_result> Offer(node& here, const std::shared_ptr<peer>& owner,
                              forwarded_call call, http_request request) {
   if (owner) {
@@ -139,6 +151,9 @@
   if (route == nullptr) {
     co_return RefuseHere(reason::kNoRoute, keyed);
   }
+  if (const auto wait = ChargeTeam(here, request)) {
+    co_return Refusal(reason::kTeamLimit, *wait);
+  }
   forwarded_call call;
   call.service = route->service;
   call.idempotent = route->idempotent;
--- a/proxy/node.cc
+++ b/proxy/node.cc
@@ -18,6 +18,7 @@
       events(settings.node, kTimelineEvents),
       config(nullptr),
       fleet(std::make_shared<fleet_view>()),
+      teams(std::make_shared<team_table>()),
       hosts(std::make_shared<host_list>()),
       owners(*this) {}
 
--- a/proxy/node.h
+++ b/proxy/node.h
@@ -17,6 +17,7 @@
 #include "proxy/meters.h"
 #include "proxy/owner_table.h"
 #include "proxy/settings.h"
+#include "proxy/team_table.h"
 
 namespace peridotarch {
 
@@ -32,6 +33,7 @@
   timeline events;
   rcu_cell<config_snapshot> config;  ///< Null before the first revision.
   rcu_cell<fleet_view> fleet;
+  rcu_cell<team_table> teams;
   rcu_cell<host_list> hosts;
   owner_table owners;
   ledger_feed ledger;
--- a/proxy/owner_shard.cc
+++ b/proxy/owner_shard.cc
@@ -164,13 +164,19 @@
       lost.said = Combine(now.attempts_said, lost.said);
       co_return lost;
     }
+    if (now.deadline <= steady_clock::Now()) {
+      scheduler_.Release(id, steady_clock::Now());
+      Pump();
+      call_result late = Refusal(reason::kDeadlineExpired);
+      late.said = now.attempts_said;
+      co_return late;
+    }
     attempt_result attempt = co_await Attempt(now, slot.instance, id);
     const verdict said = JudgeAttempt(attempt.end);
     now.attempts_said = Combine(now.attempts_said, said);
     now.latest = ReasonOf(attempt.end);
     now.failed_at = slot.instance;
-    if (now.latest == reason::kUpstreamTimeout &&
-        attempt.end.cancel != cancel_answer::kNotStarted &&
+    if (said == verdict::kMayHaveRun &&
         attempt.end.cancel != cancel_answer::kFinished) {
       scheduler_.ReleaseAt(id, steady_clock::Now() + kDetachedRun);
     } else {
@@ -215,9 +221,18 @@
                                                ticket ticket_id) {
   ++now.attempts;
   node_.measures.attempts.Add();
-  const auto link = links_.at(instance);
+  const auto known = links_.find(instance);
+  if (known == links_.end()) {
+    // The list dropped the instance since the slot was granted.
+    attempt_result gone;
+    gone.end.ended = attempt_ending::kRefused;
+    co_return gone;
+  }
+  const auto link = known->second;
   const millis left = now.deadline - steady_clock::Now();
-  const std::string id = now.call.id + "." + std::to_string(now.attempts);
+  // The owner is part of the name: a second owner counts from one again.
+  const std::string id = now.call.id + "." + node_.settings.node + "." +
+                         std::to_string(now.attempts);
   now.request.set(kAttemptHeader, id);
   now.request.set(kDeadlineHeader, std::to_string(left.count()));
   judge_.OnStart(instance, ticket_id, now.call);
@@ -298,6 +313,15 @@
 void owner_shard::ApplyHosts(const host_list& hosts,
                              const config_snapshot& config) {
   judge_.SetHosts(hosts, config);
+  const auto& routes = config.value.routes;
+  const bool keyed =
+      std::any_of(routes.begin(), routes.end(), [&](const route_rule& route) {
+        return route.service == service_ && !route.idempotent;
+      });
+  if (keyed && !claims_) {
+    // Read ahead, so that no request waits for the whole stream.
+    claims_ = node_.owners.Claims(service_);
+  }
   for (const auto& [id, entry] : judge_.entries()) {
     auto& link = links_[id];
     if (!link || link->where().incarnation != entry.incarnation ||
--- a/proxy/shard_judge.cc
+++ b/proxy/shard_judge.cc
@@ -154,6 +154,7 @@
 
 bool shard_judge::Tick() {
   ReadLedger();
+  judge_->SetNodeDoubts(node_.doubts.load());
   Do(judge_->Tick(steady_clock::Now(), wall_clock::Now()));
   return std::exchange(changed_, false);
 }
--- a/request/team_limit.h
+++ b/request/team_limit.h
@@ -21,6 +21,11 @@
   /// Sets this node's share of the limit, in (0, 1].
   void SetShare(double share, millis now);
 
+  /// Returns whether this is the bucket of such a limit.
+  [[nodiscard]] bool Enforces(int rate, int burst) const {
+    return rate == rate_ && burst == burst_;
+  }
+
   /// Charges one request; false when the team is above its part.
   bool Charge(millis now);
 
