Trials follow the work of healthy instances, one a second at most

Cause: a suspect got 20 trials a second whatever its service's load; a box-ledger instance gets 8 requests a second in the demo, so suspicion raised the work of a sick instance. Ruled out: the floor (the new owner's 'kept by the floor' lasts while it does not know which instances are warm, 10 s, and the instance is suspect meanwhile). Change: a suspect or an instance on probation gets a tenth of the work of an open one, and at most one request a second.

--- a/request/slot_table.cc
+++ b/request/slot_table.cc
@@ -77,6 +77,8 @@
   Check(instance.busy <= instance.view.slots, invariant::kSlots);
   if (OnTrial(instance.view.state)) {
     instance.next_trial = now + limits_.trial_interval;
+    instance.trial_from =
+        taken_ + static_cast<uint64_t>(limits_.trial_divisor * OpenCount());
   }
   ++taken_;
 }
@@ -142,7 +144,7 @@
     return false;
   }
   if (instance.view.state == instance_state::kProbation) {
-    return instance.busy == 0 && now >= instance.next_trial;
+    return TrialIsDue(instance, now);
   }
   return instance.busy < UsableSlots(instance, now);
 }
@@ -161,6 +163,20 @@
          !HasOther(call.exclude);
 }
 
+// In a service with little work for each instance, a fixed rate of trials would
+// send a sick instance more than a healthy one gets.
+bool slot_table::TrialIsDue(const instance_slots& instance, millis now) const {
+  return instance.busy == 0 && now >= instance.next_trial &&
+         taken_ >= instance.trial_from;
+}
+
+int slot_table::OpenCount() const {
+  return static_cast<int>(
+      std::count_if(instances_.begin(), instances_.end(), [](const auto& i) {
+        return i.listed && i.view.state == instance_state::kOpen;
+      }));
+}
+
 bool slot_table::HasOther(const std::string& excluded) const {
   return std::any_of(instances_.begin(), instances_.end(), [&](const auto& i) {
     return i.listed && Regular(i.view.state) && i.view.id != excluded;
@@ -171,8 +187,8 @@
 // would end.
 int slot_table::Rank(const instance_slots& instance, const call_info& call,
                      millis now) const {
-  if (OnTrial(instance.view.state) && call.idempotent && instance.busy == 0 &&
-      now >= instance.next_trial) {
+  if (OnTrial(instance.view.state) && call.idempotent &&
+      TrialIsDue(instance, now)) {
     return 0;
   }
   return instance.view.state == instance_state::kSuspect ? 2 : 1;
--- a/request/slot_table.h
+++ b/request/slot_table.h
@@ -16,8 +16,10 @@
 
 /// When instances get work.
 struct slot_limits {
-  millis cold_ramp = millis(10'000);   ///< From the first slot to all.
-  millis trial_interval = millis(50);  ///< Between trial requests.
+  millis cold_ramp = millis(10'000);      ///< From the first slot to all.
+  millis trial_interval = millis(1'000);  ///< At least, between trials.
+  int trial_divisor = 10;  ///< A trial instance gets this part of the work of
+                           ///< one that takes regular work.
   millis shed_backoff = millis(50);  ///< Without new work after a shed answer.
 };
 
@@ -64,8 +66,9 @@
     instance_view view;
     bool listed = false;  ///< False when gone; kept while work is in flight.
     int busy = 0;
-    millis next_trial;  ///< Earliest time of the next probation request.
-    millis shed_until;  ///< No new work before.
+    millis next_trial;        ///< Earliest time of the next trial request.
+    uint64_t trial_from = 0;  ///< Grants of the shard before the next trial.
+    millis shed_until;        ///< No new work before.
   };
 
   instance_slots& FindOrAdd(const std::string& id);
@@ -74,6 +77,9 @@
   [[nodiscard]] bool HasRoom(const instance_slots& instance, millis now) const;
   [[nodiscard]] bool CanTake(const instance_slots& instance,
                              const call_info& call, millis now) const;
+  [[nodiscard]] bool TrialIsDue(const instance_slots& instance,
+                                millis now) const;
+  [[nodiscard]] int OpenCount() const;
   [[nodiscard]] bool HasOther(const std::string& excluded) const;
   [[nodiscard]] int Rank(const instance_slots& instance, const call_info& call,
                          millis now) const;
--- a/tests/request/shard_test.cc
+++ b/tests/request/shard_test.cc
@@ -227,13 +227,16 @@
   suspect.id = "suspect";
   suspect.slots = 3;
   suspect.state = instance_state::kSuspect;
-  instance_view open = suspect;
-  open.id = "open";
-  open.state = instance_state::kOpen;
-  const std::vector<instance_view> both = {suspect, open};
-  owner.SetInstances(both, millis(0));
+  std::vector<instance_view> views = {suspect};
+  for (int i = 0; i < 4; ++i) {
+    instance_view open = suspect;
+    open.id = "open" + std::to_string(i);
+    open.state = instance_state::kOpen;
+    views.push_back(open);
+  }
+  owner.SetInstances(views, millis(0));
   int at_suspect = 0;
-  for (int i = 0; i < 100; ++i) {
+  for (int i = 0; i < 1000; ++i) {
     const millis now(10 * i);
     call_info call;
     call.deadline = now + millis(1000);
@@ -247,8 +250,9 @@
       owner.Release(action.id, now);
     }
   }
-  REQUIRE(at_suspect > 1);
-  REQUIRE(at_suspect < 50);
+  // One a second, and a tenth of the 250 that a healthy one of the four gets.
+  REQUIRE(at_suspect >= 5);
+  REQUIRE(at_suspect <= 25);
 }
 
 }  // namespace
