Bench covers configuration and lightly loaded shards

Cause: the bench number did not change when the interval between trials did: its shards were always full, so no trial ever went first; and it left the configuration out. Change: a light load beside the heavy one, states that change five times as often, and BenchConfig in the fold.

--- a/cli/bench.cc
+++ b/cli/bench.cc
@@ -8,6 +8,7 @@
 
 #include "cli/arguments.h"
 #include "cli/settings.h"
+#include "config/bench.h"
 #include "core/exit_code.h"
 #include "core/fold.h"
 #include "inner/bench.h"
@@ -28,9 +29,9 @@
 
 constexpr uint64_t kSeed = 1;
 
-constexpr std::array kParts = {bench_part{"inner", BenchInner},
-                               bench_part{"request", BenchRequest},
-                               bench_part{"judge", BenchJudge}};
+constexpr std::array kParts = {
+    bench_part{"inner", BenchInner}, bench_part{"config", BenchConfig},
+    bench_part{"request", BenchRequest}, bench_part{"judge", BenchJudge}};
 
 // Times go to `err`, so that the output of two runs is equal when the
 // decisions are.
--- a/request/bench.cc
+++ b/request/bench.cc
@@ -31,7 +31,8 @@
   uint64_t value_ = 0;
 };
 
-void RunShard(random_bits& random, fold& out) {
+// `most_held` sets the load: how long an attempt may hold its slot.
+void RunShard(random_bits& random, uint64_t most_held, fold& out) {
   constexpr int kInstances = 6;
   std::vector<instance_view> views;
   views.reserve(kInstances);
@@ -44,7 +45,7 @@
   millis now{1'000};
   for (ticket id = 1; id <= kSteps; ++id) {
     now += millis(static_cast<int64_t>(random.Below(6)));
-    if (id % 500 == 1) {
+    if (id % 100 == 1) {
       views[random.Below(views.size())].state =
           static_cast<instance_state>(random.Below(6));
       owner.SetInstances(views, now);
@@ -60,7 +61,7 @@
       out.Add(ToName(done.why));
       out.Add(done.instance);
       if (done.act == shard_action::action::kGrant) {
-        const auto held = static_cast<int64_t>(5 + random.Below(80));
+        const auto held = static_cast<int64_t>(5 + random.Below(most_held));
         ends.emplace(now + millis(held), done.id);
       }
     }
@@ -139,7 +140,10 @@
 uint64_t BenchRequest(uint64_t seed) {
   random_bits random(seed);
   fold out;
-  RunShard(random, out);
+  constexpr uint64_t kLightMillis = 20;
+  constexpr uint64_t kHeavyMillis = 80;
+  RunShard(random, kLightMillis, out);
+  RunShard(random, kHeavyMillis, out);
   RunClaims(random, out);
   RunLimits(random, out);
   RunOwners(out);
