Whole answers are asserted in the daemon; one check of servers in the command

Cause: the promise of whole own answers had no check inside the program; the command checked its servers in two places with the same lines. Change: the owner names the request that its answer is for and the entry node compares; a reply is checked against its own length before it is written; RequireServer serves both.

--- a/cli/config_log.cc
+++ b/cli/config_log.cc
@@ -16,21 +16,7 @@
 }  // namespace
 
 void RequireLog(const cli_settings& settings) {
-  std::string missing;
-  if (settings.log_host.empty()) {
-    missing =
-        "--log (or PERIDOTARCH_LOG): missing; allowed is an IP number and a "
-        "port, such as 10.0.0.5:7000";
-  }
-  if (settings.fleet_key.empty()) {
-    missing += missing.empty() ? "" : "\n";
-    missing +=
-        "--fleet-key (or PERIDOTARCH_FLEET_KEY): missing; allowed is 16 bytes "
-        "or more, the same as on every node";
-  }
-  if (!missing.empty()) {
-    throw settings_error(missing);
-  }
+  RequireServer(settings, "log", settings.log_host);
 }
 
 config_history ReadConfigLog(const cli_settings& settings, bool whole,
--- a/cli/fleet.cc
+++ b/cli/fleet.cc
@@ -33,21 +33,7 @@
 }  // namespace
 
 void RequireFleet(const cli_settings& settings) {
-  std::string missing;
-  if (settings.hosts_host.empty()) {
-    missing =
-        "--hosts (or PERIDOTARCH_HOSTS): missing; allowed is an IP number and "
-        "a port, such as 10.0.0.5:7000";
-  }
-  if (settings.fleet_key.empty()) {
-    missing += missing.empty() ? "" : "\n";
-    missing +=
-        "--fleet-key (or PERIDOTARCH_FLEET_KEY): missing; allowed is 16 bytes "
-        "or more, the same as on every node";
-  }
-  if (!missing.empty()) {
-    throw settings_error(missing);
-  }
+  RequireServer(settings, "hosts", settings.hosts_host);
 }
 
 std::vector<host> ReadFleet(const cli_settings& settings) {
--- a/cli/settings.cc
+++ b/cli/settings.cc
@@ -1,7 +1,10 @@
 #include "cli/settings.h"
 
+#include <algorithm>
+#include <cctype>
 #include <cstdlib>
 
+#include "core/error.h"
 #include "core/settings_reader.h"
 
 namespace peridotarch {
@@ -115,4 +118,26 @@
          "  7  a fault of the program\n";
 }
 
+void RequireServer(const cli_settings& settings, const std::string& name,
+                   const std::string& address) {
+  std::string missing;
+  if (address.empty()) {
+    std::string variable = name;
+    std::transform(variable.begin(), variable.end(), variable.begin(),
+                   [](unsigned char c) { return std::toupper(c); });
+    missing = "--" + name + " (or PERIDOTARCH_" + variable +
+              "): missing; allowed is an IP number and a port, such as "
+              "10.0.0.5:7000";
+  }
+  if (settings.fleet_key.empty()) {
+    missing += missing.empty() ? "" : "\n";
+    missing +=
+        "--fleet-key (or PERIDOTARCH_FLEET_KEY): missing; allowed is 16 bytes "
+        "or more, the same as on every node";
+  }
+  if (!missing.empty()) {
+    throw settings_error(missing);
+  }
+}
+
 }  // namespace peridotarch
--- a/cli/settings.h
+++ b/cli/settings.h
@@ -38,6 +38,11 @@
 /// Returns the settings and the exit codes, for the help text.
 std::string CliSettingsHelp();
 
+/// Throws settings_error, one line for each that is missing, unless `address`,
+/// that of the flag `name`, and the fleet key are set.
+void RequireServer(const cli_settings& settings, const std::string& name,
+                   const std::string& address);
+
 }  // namespace peridotarch
 
 #endif  // CLI_SETTINGS_H_
--- a/inner/headers.h
+++ b/inner/headers.h
@@ -16,6 +16,7 @@
 /// Headers between an entry node and the owner of a shard.
 inline constexpr std::string_view kInnerSealHeader = "Inner-Seal";
 inline constexpr std::string_view kInnerCallHeader = "Inner-Call";
+inline constexpr std::string_view kInnerAnswerHeader = "Inner-Answer-To";
 
 /// Targets on the inner port: the connection's nonce, and JSON-RPC.
 inline constexpr std::string_view kHelloTarget = "/inner/hello";
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "core/invariant.h"
 #include "proxy/entry.h"
 #include "proxy/http_session.h"
 #include "proxy/message.h"
@@ -44,6 +45,7 @@
   if (head) {
     reply.body().clear();
   }
+  Check(IsWhole(reply, head), invariant::kWholeAnswer);
   co_return reply;
 }
 
--- a/proxy/message.cc
+++ b/proxy/message.cc
@@ -22,9 +22,10 @@
     "Connection", "Keep-Alive", "Proxy-Connection",   "TE",
     "Trailer",    "Upgrade",    "Proxy-Authenticate", "Proxy-Authorization"};
 
-constexpr std::array<std::string_view, 8> kFleetHeaders = {
-    kInnerSealHeader, kInnerCallHeader, kAttemptHeader,   kDeadlineHeader,
-    kVerdictHeader,   kReasonHeader,    kKeyStatusHeader, kNotStartedHeader};
+constexpr std::array<std::string_view, 9> kFleetHeaders = {
+    kInnerAnswerHeader, kInnerSealHeader, kInnerCallHeader,
+    kAttemptHeader,     kDeadlineHeader,  kVerdictHeader,
+    kReasonHeader,      kKeyStatusHeader, kNotStartedHeader};
 
 size_t CountOf(const http::fields& headers, std::string_view name) {
   return headers.count(name);
@@ -105,6 +106,16 @@
   }
 }
 
+bool IsWhole(const http_response& reply, bool to_head) {
+  const bool bodiless = to_head || reply.result() == http::status::no_content ||
+                        reply.result() == http::status::not_modified;
+  if (bodiless || reply.count(http::field::content_length) == 0) {
+    return true;
+  }
+  const std::string length(reply[http::field::content_length]);
+  return length == std::to_string(reply.body().size());
+}
+
 http_response ToReply(call_result result) {
   const reply_rule rule = ReplyFor(result.why);
   http_response reply;
--- a/proxy/message.h
+++ b/proxy/message.h
@@ -27,6 +27,10 @@
 /// Removes those, and headers that only the fleet itself may set.
 void StripForForwarding(boost::beast::http::fields& headers);
 
+/// Returns false when the body is not as long as the reply says; `to_head` says
+/// that the request was a HEAD. A chunked body is whole by its parser.
+bool IsWhole(const http_response& reply, bool to_head);
+
 /// Returns the reply to a caller for a result.
 http_response ToReply(call_result result);
 
--- a/proxy/peer.cc
+++ b/proxy/peer.cc
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "core/error.h"
+#include "core/invariant.h"
+#include "inner/headers.h"
 #include "proxy/message.h"
 
 namespace peridotarch {
@@ -44,6 +46,14 @@
     const millis timeout = call.left + kAnswerMargin;
     http_response answer =
         co_await used->client.Forward(std::move(request), text, timeout);
+    if (answer.count(kInnerAnswerHeader) != 0) {
+      const bool own = answer[kInnerAnswerHeader] == call.id;
+      Check(own, invariant::kWholeAnswer);
+      if (!own) {
+        co_return Refusal(reason::kOwnerLost);
+      }
+      answer.erase(kInnerAnswerHeader);
+    }
     co_return FromReply(std::move(answer));
   } catch (const platform_error&) {
     co_return Refusal(reason::kOwnerLost);
--- a/proxy/peer_session.cc
+++ b/proxy/peer_session.cc
@@ -45,8 +45,11 @@
   }
   StripForForwarding(request);
   const auto shard = here.owners.Get(call.service, call.shard);
+  const std::string id = call.id;
   call_result result = co_await shard->Run(std::move(call), std::move(request));
-  co_return ToReply(std::move(result));
+  http_response reply = ToReply(std::move(result));
+  reply.set(kInnerAnswerHeader, id);
+  co_return reply;
 }
 
 awaitable<http_response> AnswerPeer(node& here, control& loops,
--- a/tests/proxy/bad_input_test.cc
+++ b/tests/proxy/bad_input_test.cc
@@ -131,5 +131,15 @@
   CHECK(FromReply(http_response()).why == reason::kOwnerLost);
 }
 
+TEST_CASE("a reply is whole when its body has the length that it says") {
+  http_response reply(boost::beast::http::status::ok, 11);
+  reply.body() = "body";
+  reply.set("Content-Length", "4");
+  CHECK(IsWhole(reply, false));
+  reply.set("Content-Length", "5");
+  CHECK_FALSE(IsWhole(reply, false));
+  CHECK(IsWhole(reply, true));
+}
+
 }  // namespace
 }  // namespace peridotarch
