--- a/proxy/executor.h
+++ b/proxy/executor.h
@@ -6,10 +6,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <chrono>
 
 #include "core/millis.h"
 #include "platform/awaitable.h"
+#include "platform/to_chrono.h"
 
 namespace peridotarch {
 
@@ -19,7 +19,7 @@
 /// Suspends the calling coroutine, which runs on `on`, for a span of time.
 inline awaitable<void> Sleep(const boost::asio::any_io_executor& on,
                              millis span) {
-  boost::asio::steady_timer timer(on, std::chrono::milliseconds(span.count()));
+  boost::asio::steady_timer timer(on, ToChrono(span));
   boost::system::error_code ignored;
   co_await timer.async_wait(
       boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -6,9 +6,9 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <chrono>
 #include <utility>
 
+#include "platform/to_chrono.h"
 #include "proxy/message.h"
 
 namespace peridotarch {
@@ -49,10 +49,6 @@
   return Refused(reason::kBadRequest);
 }
 
-std::chrono::milliseconds ToChrono(millis span) {
-  return std::chrono::milliseconds(span.count());
-}
-
 }  // namespace
 
 http_session::http_session(beast::tcp_stream stream)
--- a/proxy/upstream_link.cc
+++ b/proxy/upstream_link.cc
@@ -17,6 +17,7 @@
 #include "core/error.h"
 #include "inner/headers.h"
 #include "platform/quiet.h"
+#include "platform/to_chrono.h"
 #include "proxy/message.h"
 
 namespace peridotarch {
@@ -85,7 +86,7 @@
   const asio::ip::tcp::endpoint remote(asio::ip::make_address(where_.address),
                                        where_.port);
   const millis limit = std::min(timeout, kConnectTimeout);
-  fresh.stream.expires_after(std::chrono::milliseconds(limit.count()));
+  fresh.stream.expires_after(ToChrono(limit));
   error_code failure;
   co_await fresh.stream.async_connect(
       remote, asio::redirect_error(asio::use_awaitable, failure));
@@ -98,8 +99,7 @@
 awaitable<attempt_result> upstream_link::Send(const http_request& request,
                                               millis timeout) {
   attempt_result result;
-  const auto until = std::chrono::steady_clock::now() +
-                     std::chrono::milliseconds(timeout.count());
+  const auto until = std::chrono::steady_clock::now() + ToChrono(timeout);
   auto used = TakeIdle();
   if (!used) {
     used = std::make_unique<connection>(strand_);
