--- /dev/null
+++ b/balance/answer_rule.h
@@ -0,0 +1,34 @@
+#ifndef BALANCE_ANSWER_RULE_H_
+#define BALANCE_ANSWER_RULE_H_
+
+#include "balance/instance.h"
+#include "core/verdict.h"
+#include "request/attempt.h"
+
+namespace peridotarch {
+
+/// What the head of an instance's whole answer says.
+struct answer_facts {
+  int status = 0;
+  bool has_digest = false;    ///< Carries the instance's digest of its body.
+  bool not_executed = false;  ///< States that the request did not run.
+  bool encoded = false;       ///< The body is not the bytes that were asked.
+};
+
+/// What follows from an answer.
+struct answer_ruling {
+  attempt_outcome outcome = attempt_outcome::kOk;
+  verdict said = verdict::kRan;
+  bool deliver = false;  ///< The caller may get this answer as it is.
+};
+
+/// Judges a whole answer to one's own request.
+answer_ruling JudgeAnswer(const answer_facts& facts);
+
+/// Returns what an attempt without a whole answer says of the instance;
+/// `kept` says that it went on a connection that had been idle.
+attempt_outcome OutcomeOf(const attempt_end& end, bool kept);
+
+}  // namespace peridotarch
+
+#endif  // BALANCE_ANSWER_RULE_H_
--- /dev/null
+++ b/balance/fleet_config.h
@@ -0,0 +1,56 @@
+#ifndef BALANCE_FLEET_CONFIG_H_
+#define BALANCE_FLEET_CONFIG_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/millis.h"
+
+namespace peridotarch {
+
+/// One destination of a route and its share of the route's requests.
+struct weighted_service {
+  std::string service;
+  double weight = 1;
+};
+
+/// One route: requests of a host below a path prefix.
+struct host_route {
+  std::string name;
+  std::string host;    ///< Lower case, without a port.
+  std::string prefix;  ///< Begins and ends with a slash.
+  bool idempotent = false;
+  millis timeout;            ///< The longest a caller is kept waiting.
+  millis latency_objective;  ///< An answer within it has its full value.
+  int priority = 0;          ///< 0 is the most urgent.
+  int max_attempts = 1;      ///< Instances that one request may be sent to.
+  std::vector<weighted_service> services;  ///< At least one.
+};
+
+/// One service as the configuration describes it.
+struct fleet_service {
+  std::string name;
+  int max_connections = 0;  ///< Of one instance, from the whole fleet.
+};
+
+/// What a caller may send, and how slowly.
+struct caller_limits {
+  size_t header_bytes = 16 * 1024;
+  size_t body_bytes = 1024 * 1024;
+  millis header_timeout = millis(5'000);
+  millis idle_timeout = millis(60'000);
+};
+
+/// A whole configuration; versions only rise.
+struct fleet_config {
+  uint64_t version = 0;
+  std::vector<host_route> routes;
+  std::vector<fleet_service> services;
+  caller_limits limits;
+};
+
+}  // namespace peridotarch
+
+#endif  // BALANCE_FLEET_CONFIG_H_
--- /dev/null
+++ b/balance/instance_board.cc
@@ -0,0 +1,335 @@
+#include "balance/instance_board.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotarch {
+
+namespace {
+
+constexpr millis kPeerSilence(2'500);  // two missed reports a second apart
+constexpr double kFirstMeanMs = 200;   // until answers have been seen
+constexpr double kMeanWeight = 0.05;   // of the newest answer
+constexpr double kMeanMostFactor = 5;  // an outlier counts as this many means
+// Work times spread widely; one healthy request in a hundred takes longer.
+constexpr double kSlowFactor = 4;
+constexpr millis kLeastSlow(250);
+constexpr double kColdFactor = 2;  // a cold instance takes twice as long
+// Idempotent requests are tried on a suspect as soon as its hold ends, since a
+// failure can be repeated elsewhere. A service that has none uses its least
+// urgent requests, then any.
+constexpr millis kLeastUrgentTrial(400);
+constexpr millis kAnyTrial(800);
+// Part of the time left that the expected answer may take, by priority: the
+// least urgent requests are refused first.
+constexpr double kTimeShare = 0.9;
+constexpr double kShareStep = 0.1;
+constexpr int kShareSteps = 3;
+constexpr millis kUnreachableHold(500);
+constexpr int kUnreachableSteps = 3;  // doubled this often
+constexpr size_t kMaxRecent = 8;
+constexpr millis kRepeatOutcomes(600);  // bridges a few lost reports
+constexpr int kMaxReported = 255;
+
+}  // namespace
+
+void instance_board::SetInstances(std::span<const instance_entry> entries,
+                                  millis now) {
+  for (auto& [key, one] : instances_) {
+    one.listed = false;
+  }
+  by_service_.clear();
+  listed_ = entries.size();
+  for (const instance_entry& entry : entries) {
+    const instance_key key = KeyOf(entry.id);
+    tracked& one = instances_[key];
+    if (one.key == 0 || one.entry.started_at != entry.started_at) {
+      one.health = {};
+      one.unreachable_until = {};
+      one.warm_at = now + entry.warmup_left;
+    }
+    one.warm_at = std::min(one.warm_at, now + entry.warmup_left);
+    one.key = key;
+    one.entry = entry;
+    one.listed = true;
+  }
+  std::erase_if(instances_, [](const auto& item) {
+    return !item.second.listed && item.second.own == 0;
+  });
+  for (auto& [key, one] : instances_) {
+    if (one.listed && !one.entry.draining) {
+      by_service_[one.entry.service].push_back(&one);
+    }
+  }
+}
+
+double instance_board::Load(const tracked& one, millis now) const {
+  const double cold = now < one.warm_at ? 1 : 0;
+  return (one.own + one.others + cold) / std::max(1, one.entry.slots);
+}
+
+double instance_board::ExpectedMs(const tracked& one, double mean,
+                                  millis now) const {
+  const int slots = std::max(1, one.entry.slots);
+  const int ahead = std::max(0, one.own + one.others + 1 - slots);
+  const double work = now < one.warm_at ? mean * kColdFactor : mean;
+  return work * (1 + static_cast<double>(ahead) / slots);
+}
+
+bool instance_board::IsOpen(const tracked& one, const board_call& call,
+                            millis now) const {
+  return now >= one.unreachable_until &&
+         std::find(call.tried.begin(), call.tried.end(), one.key) ==
+             call.tried.end();
+}
+
+// One trial at a time: reports of the first reach the peers before most of
+// their own requests arrive.
+bool instance_board::MayTry(const tracked& one, const board_call& call,
+                            int least_urgent, millis now) const {
+  if (one.own + one.others > 0) {
+    return false;
+  }
+  const millis overdue = one.health.TrialOverdue(now);
+  if (call.idempotent) {
+    return overdue >= millis(0);
+  }
+  return overdue >= kAnyTrial ||
+         (call.priority >= least_urgent && overdue >= kLeastUrgentTrial);
+}
+
+instance_board::tracked* instance_board::BestOf(
+    const std::vector<tracked*>& from, millis now) {
+  tracked* best = nullptr;
+  double best_load = 0;
+  uint64_t best_draw = 0;
+  for (tracked* one : from) {
+    const double load = Load(*one, now);
+    // Equal loads: the own zone first, then at random, since all nodes see
+    // the same board and would otherwise pick the same instance.
+    const uint64_t zone_bit = one->entry.zone == zone_ ? 1ULL << 63 : 0;
+    const uint64_t draw = (random_() >> 1) | zone_bit;
+    if (best == nullptr || load < best_load ||
+        (load == best_load && draw > best_draw)) {
+      best = one;
+      best_load = load;
+      best_draw = draw;
+    }
+  }
+  return best;
+}
+
+board_choice instance_board::Chosen(const tracked& one, choice_basis basis,
+                                    double mean, millis now) const {
+  board_choice choice;
+  choice.basis = basis;
+  choice.instance = one.entry;
+  choice.key = one.key;
+  choice.in_flight = one.own + one.others;
+  choice.slow_after = std::max(
+      kLeastSlow,
+      millis(static_cast<int64_t>(kSlowFactor * ExpectedMs(one, mean, now))));
+  return choice;
+}
+
+board_choice instance_board::Choose(const board_call& call, millis now) {
+  const auto found = by_service_.find(call.service);
+  board_choice none;
+  if (found == by_service_.end()) {
+    return none;
+  }
+  service_measure& measure = measures_[found->first];
+  measure.least_urgent = std::max(measure.least_urgent, call.priority);
+  const double mean = measure.mean_ms > 0 ? measure.mean_ms : kFirstMeanMs;
+  const double share =
+      kTimeShare - kShareStep * std::min(call.priority, kShareSteps);
+  const double time_left = static_cast<double>(call.time_left.count()) * share;
+  std::vector<tracked*> good;
+  std::vector<tracked*> doubtful;
+  double shortest = 0;
+  for (tracked* one : found->second) {
+    if (!IsOpen(*one, call, now)) {
+      continue;
+    }
+    if (one->health.suspect()) {
+      if (MayTry(*one, call, measure.least_urgent, now)) {
+        return Chosen(*one, choice_basis::kTrial, mean, now);
+      }
+      doubtful.push_back(one);
+      continue;
+    }
+    const double expected = ExpectedMs(*one, mean, now);
+    shortest = shortest == 0 ? expected : std::min(shortest, expected);
+    if (expected <= time_left || one->own + one->others < one->entry.slots) {
+      good.push_back(one);
+    }
+  }
+  if (tracked* best = BestOf(good, now)) {
+    return Chosen(*best, choice_basis::kRegular, mean, now);
+  }
+  std::erase_if(doubtful, [](const tracked* one) {
+    return one->own + one->others >= one->entry.slots;
+  });
+  if (tracked* best = BestOf(doubtful, now)) {
+    return Chosen(*best, choice_basis::kLastResort, mean, now);
+  }
+  none.basis = choice_basis::kOverload;
+  none.retry_after = millis(static_cast<int64_t>(std::max(mean, shortest)));
+  return none;
+}
+
+void instance_board::Begin(instance_key instance) {
+  const auto found = instances_.find(instance);
+  if (found != instances_.end()) {
+    ++found->second.own;
+    ++in_flight_;
+  }
+}
+
+void instance_board::End(instance_key instance, attempt_outcome outcome,
+                         millis latency, millis now) {
+  const auto found = instances_.find(instance);
+  if (found == instances_.end()) {
+    return;
+  }
+  tracked& one = found->second;
+  --one.own;
+  --in_flight_;
+  if (outcome == attempt_outcome::kUnreachable) {
+    const int times = std::min(one.unreachable_times++, kUnreachableSteps);
+    one.unreachable_until = now + kUnreachableHold * (1 << times);
+  } else if (outcome == attempt_outcome::kOk) {
+    one.unreachable_times = 0;
+  }
+  Record(instance, outcome, latency, now);
+  Learn(one, outcome, latency, "", now);
+}
+
+void instance_board::NoteEarly(instance_key instance, attempt_outcome outcome,
+                               millis now) {
+  const auto found = instances_.find(instance);
+  if (found != instances_.end()) {
+    Record(instance, outcome, millis(0), now);
+    Learn(found->second, outcome, millis(0), "", now);
+  }
+}
+
+void instance_board::Record(instance_key instance, attempt_outcome outcome,
+                            millis latency, millis now) {
+  if (outcome == attempt_outcome::kUnknown) {
+    return;
+  }
+  recent_.push_back({{++next_outcome_, instance, outcome, latency}, now});
+  while (recent_.size() > kMaxRecent) {
+    recent_.pop_front();
+  }
+}
+
+void instance_board::Learn(tracked& one, attempt_outcome outcome,
+                           millis latency, const std::string& told_by,
+                           millis now) {
+  if (outcome == attempt_outcome::kOk && now >= one.warm_at) {
+    double& mean = measures_[one.entry.service].mean_ms;
+    const auto seen = static_cast<double>(latency.count());
+    mean = mean == 0
+               ? std::max(1.0, seen)
+               : mean + kMeanWeight *
+                            (std::min(seen, mean * kMeanMostFactor) - mean);
+  }
+  if (one.health.Note(outcome, now)) {
+    changes_.push_back(
+        {one.entry.id, one.health.suspect(), one.health.cause(), told_by});
+  }
+}
+
+void instance_board::Withdraw(const peer_state& peer) {
+  for (const load_entry& entry : peer.load) {
+    const auto found = instances_.find(entry.instance);
+    if (found != instances_.end()) {
+      found->second.others =
+          std::max(0, found->second.others - entry.in_flight);
+    }
+  }
+}
+
+void instance_board::Apply(const std::string& peer, const load_report& report,
+                           millis now) {
+  peer_state& state = peers_[peer];
+  const bool same = report.incarnation == state.incarnation;
+  // The number of a start is its wall clock, which may have stepped back
+  // since an earlier start that is silent by now.
+  const bool older = report.incarnation < state.incarnation &&
+                     now - state.heard < kPeerSilence;
+  if (older || (same && report.number <= state.number)) {
+    return;
+  }
+  Withdraw(state);
+  state.heard = now;
+  state.number = report.number;
+  state.load = report.load;
+  if (!same) {
+    state.incarnation = report.incarnation;
+    state.outcome = 0;
+  }
+  for (load_entry& entry : state.load) {
+    const auto found = instances_.find(entry.instance);
+    if (found == instances_.end()) {
+      entry.in_flight = 0;
+      continue;
+    }
+    found->second.others += entry.in_flight;
+  }
+  for (const outcome_entry& entry : report.outcomes) {
+    const auto found = instances_.find(entry.instance);
+    if (entry.number > state.outcome) {
+      state.outcome = entry.number;
+      if (found != instances_.end()) {
+        Learn(found->second, entry.outcome, entry.latency, peer, now);
+      }
+    }
+  }
+}
+
+void instance_board::ForgetSilent(millis now) {
+  for (auto& [name, state] : peers_) {
+    if (now - state.heard > kPeerSilence && !state.load.empty()) {
+      Withdraw(state);
+      state.load.clear();
+    }
+  }
+}
+
+load_report instance_board::MakeReport(millis now) const {
+  load_report report;
+  for (const auto& [key, one] : instances_) {
+    if (one.own > 0 && report.load.size() < kMaxReported) {
+      report.load.push_back(
+          {key, static_cast<uint8_t>(std::min(one.own, kMaxReported))});
+    }
+  }
+  for (const recent_outcome& recent : recent_) {
+    if (now - recent.at < kRepeatOutcomes) {
+      report.outcomes.push_back(recent.entry);
+    }
+  }
+  return report;
+}
+
+std::vector<health_change> instance_board::TakeChanges() {
+  return std::exchange(changes_, {});
+}
+
+size_t instance_board::suspects() const {
+  return static_cast<size_t>(
+      std::count_if(instances_.begin(), instances_.end(), [](const auto& one) {
+        return one.second.listed && one.second.health.suspect();
+      }));
+}
+
+const instance_entry* instance_board::Find(instance_key instance) const {
+  const auto found = instances_.find(instance);
+  const bool listed = found != instances_.end() && found->second.listed;
+  return listed ? &found->second.entry : nullptr;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/balance/instance_board.h
@@ -0,0 +1,165 @@
+#ifndef BALANCE_INSTANCE_BOARD_H_
+#define BALANCE_INSTANCE_BOARD_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "balance/instance.h"
+#include "balance/instance_health.h"
+#include "balance/load_report.h"
+#include "core/millis.h"
+#include "core/names.h"
+#include "core/random.h"
+
+namespace peridotarch {
+
+/// What the choice of an instance depends on.
+struct board_call {
+  std::string_view service;
+  bool idempotent = false;
+  int priority = 0;  ///< 0 is the most urgent.
+  millis time_left;  ///< Until the caller's deadline or the route's timeout.
+  std::span<const instance_key> tried = {};  ///< Not to be chosen again.
+};
+
+/// Why an instance was chosen, or none.
+enum class choice_basis {
+  kRegular,     ///< The least loaded instance that looks healthy.
+  kTrial,       ///< A suspect, to learn whether it has recovered.
+  kLastResort,  ///< A suspect, since no healthy one can serve in time.
+  kNoInstance,  ///< The service has no instance to use.
+  kOverload,    ///< None can answer within the time left.
+};
+
+template <>
+struct names_of<choice_basis> {
+  static constexpr std::array<std::string_view, 5> kTable = {
+      "regular", "trial", "last_resort", "no_instance", "overload"};
+};
+
+/// The instance for an attempt and what decided.
+struct board_choice {
+  choice_basis basis = choice_basis::kNoInstance;
+  instance_entry instance;  ///< Of the first three bases.
+  instance_key key = 0;
+  int in_flight = 0;   ///< Of the whole fleet there, before this attempt.
+  millis slow_after;   ///< An attempt out for longer is suspicious.
+  millis retry_after;  ///< Of a refusal: when capacity is expected.
+};
+
+/// A change of what the node believes of an instance.
+struct health_change {
+  std::string instance;
+  bool suspect = false;
+  attempt_outcome cause = attempt_outcome::kOk;
+  std::string told_by;  ///< The peer that saw it; empty: this node.
+};
+
+/// The instances of all services with the load and the outcomes that all
+/// nodes of the fleet report. Every node chooses for its own callers; there is
+/// no owner to wait for. Not thread-safe.
+class instance_board {
+ public:
+  /// `zone` is this node's; `seed` breaks ties.
+  instance_board(std::string zone, uint64_t seed)
+      : zone_(std::move(zone)), random_(seed) {}
+
+  /// Replaces the list of instances; load and outcomes of those that stay are
+  /// kept. A start of an instance that was not known begins afresh.
+  void SetInstances(std::span<const instance_entry> entries, millis now);
+
+  /// Chooses the instance for one attempt; changes nothing.
+  board_choice Choose(const board_call& call, millis now);
+
+  /// An attempt begins at the instance.
+  void Begin(instance_key instance);
+  /// The attempt ended.
+  void End(instance_key instance, attempt_outcome outcome, millis latency,
+           millis now);
+  /// Notes an outcome of an attempt that goes on.
+  void NoteEarly(instance_key instance, attempt_outcome outcome, millis now);
+
+  /// Takes a peer's report into account; an old one is ignored.
+  void Apply(const std::string& peer, const load_report& report, millis now);
+  /// Forgets the load of peers that have been silent.
+  void ForgetSilent(millis now);
+
+  /// Returns this node's load and latest outcomes for its peers.
+  [[nodiscard]] load_report MakeReport(millis now) const;
+  /// Returns and clears the changes of belief since the last call.
+  std::vector<health_change> TakeChanges();
+
+  [[nodiscard]] size_t size() const { return listed_; }
+  [[nodiscard]] size_t suspects() const;
+  /// Returns the entry of a listed instance, or null.
+  [[nodiscard]] const instance_entry* Find(instance_key instance) const;
+  /// Returns the requests of this node in flight at all instances.
+  [[nodiscard]] int in_flight() const { return in_flight_; }
+
+ private:
+  struct tracked {
+    instance_entry entry;
+    instance_key key = 0;
+    bool listed = false;
+    int own = 0;     ///< This node's requests in flight.
+    int others = 0;  ///< The peers' as they report.
+    millis warm_at;
+    millis unreachable_until;  ///< From this node.
+    int unreachable_times = 0;
+    instance_health health;
+  };
+  struct peer_state {
+    uint64_t incarnation = 0;
+    uint32_t number = 0;
+    uint32_t outcome = 0;  ///< Number of the last outcome taken.
+    millis heard;
+    std::vector<load_entry> load;
+  };
+  struct service_measure {
+    double mean_ms = 0;  ///< Moving mean of the latency of good answers.
+    int least_urgent = 0;
+  };
+  struct recent_outcome {
+    outcome_entry entry;
+    millis at;
+  };
+
+  [[nodiscard]] double Load(const tracked& one, millis now) const;
+  [[nodiscard]] double ExpectedMs(const tracked& one, double mean,
+                                  millis now) const;
+  [[nodiscard]] bool MayTry(const tracked& one, const board_call& call,
+                            int least_urgent, millis now) const;
+  [[nodiscard]] bool IsOpen(const tracked& one, const board_call& call,
+                            millis now) const;
+  [[nodiscard]] board_choice Chosen(const tracked& one, choice_basis basis,
+                                    double mean, millis now) const;
+  tracked* BestOf(const std::vector<tracked*>& from, millis now);
+  void Learn(tracked& one, attempt_outcome outcome, millis latency,
+             const std::string& told_by, millis now);
+  void Record(instance_key instance, attempt_outcome outcome, millis latency,
+              millis now);
+  void Withdraw(const peer_state& peer);
+
+  const std::string zone_;
+  random_bits random_;
+  std::unordered_map<instance_key, tracked> instances_;
+  std::map<std::string, std::vector<tracked*>, std::less<>> by_service_;
+  std::map<std::string, service_measure, std::less<>> measures_;
+  std::unordered_map<std::string, peer_state> peers_;
+  std::deque<recent_outcome> recent_;
+  std::vector<health_change> changes_;
+  uint32_t next_outcome_ = 0;
+  size_t listed_ = 0;
+  int in_flight_ = 0;
+};
+
+}  // namespace peridotarch
+
+#endif  // BALANCE_INSTANCE_BOARD_H_
--- /dev/null
+++ b/balance/instance_list.cc
@@ -0,0 +1,92 @@
+#include "balance/instance_list.h"
+
+#include <set>
+
+namespace peridotarch {
+
+namespace {
+
+// After an outage of the store live instances are listed again within two
+// seconds.
+constexpr millis kOutageAftermath(3'000);
+constexpr millis kLapseGrace(2'000);
+
+bool SameToBalancing(const instance_entry& left, const instance_entry& right) {
+  return left.service == right.service && left.address == right.address &&
+         left.port == right.port && left.slots == right.slots &&
+         left.draining == right.draining && left.zone == right.zone &&
+         left.started_at == right.started_at;
+}
+
+}  // namespace
+
+void instance_list::Put(const instance_entry& entry) {
+  const auto found = entries_.find(entry.id);
+  if (found == entries_.end()) {
+    entries_[entry.id].entry = entry;
+    changed_ = true;
+    return;
+  }
+  listed& known = found->second;
+  if (entry.started_at < known.entry.started_at ||
+      (entry.started_at == known.entry.started_at &&
+       entry.sequence < known.entry.sequence)) {
+    return;
+  }
+  changed_ = changed_ || !SameToBalancing(known.entry, entry);
+  known.entry = entry;
+  known.lapsed = false;
+}
+
+void instance_list::Remove(const std::string& id, millis now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.lapsed) {
+    return;
+  }
+  const bool aftermath = now - away_at_ < kOutageAftermath;
+  if (!aftermath || found->second.entry.draining) {
+    entries_.erase(found);
+    changed_ = true;
+    return;
+  }
+  found->second.lapsed = true;
+  found->second.drop_at = now + kLapseGrace;
+}
+
+void instance_list::Replace(const std::vector<instance_entry>& entries,
+                            millis now) {
+  std::set<std::string> present;
+  for (const instance_entry& entry : entries) {
+    present.insert(entry.id);
+    Put(entry);
+  }
+  std::vector<std::string> absent;
+  for (const auto& [id, known] : entries_) {
+    if (!present.contains(id)) {
+      absent.push_back(id);
+    }
+  }
+  for (const std::string& id : absent) {
+    Remove(id, now);
+  }
+}
+
+bool instance_list::Settle(millis now) {
+  const size_t dropped = std::erase_if(entries_, [now](const auto& item) {
+    return item.second.lapsed && now >= item.second.drop_at;
+  });
+  const bool changed = changed_ || dropped > 0;
+  changed_ = false;
+  return changed;
+}
+
+std::vector<instance_entry> instance_list::Entries() const {
+  std::vector<instance_entry> entries;
+  entries.reserve(entries_.size());
+  for (const auto& [id, known] : entries_) {
+    entries.push_back(known.entry);
+  }
+  return entries;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/balance/instance_list.h
@@ -0,0 +1,47 @@
+#ifndef BALANCE_INSTANCE_LIST_H_
+#define BALANCE_INSTANCE_LIST_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "balance/instance.h"
+#include "core/millis.h"
+
+namespace peridotarch {
+
+/// The instances as service discovery lists them. Entries that lapse while
+/// the store has been away are kept for a moment: a live instance renews its
+/// entry soon after the store is back. Not thread-safe.
+class instance_list {
+ public:
+  /// Takes an entry. An older word of the same start is ignored.
+  void Put(const instance_entry& entry);
+  /// The entry was removed.
+  void Remove(const std::string& id, millis now);
+  /// Replaces everything by the store's newest entries.
+  void Replace(const std::vector<instance_entry>& entries, millis now);
+  /// The store could not be read.
+  void NoteStoreAway(millis now) { away_at_ = now; }
+  /// Drops what has lapsed for good; returns whether the list has changed
+  /// since the last call.
+  bool Settle(millis now);
+
+  [[nodiscard]] std::vector<instance_entry> Entries() const;
+  [[nodiscard]] size_t size() const { return entries_.size(); }
+
+ private:
+  struct listed {
+    instance_entry entry;
+    bool lapsed = false;
+    millis drop_at;
+  };
+
+  std::map<std::string, listed> entries_;
+  millis away_at_ = millis(-1'000'000);
+  bool changed_ = false;
+};
+
+}  // namespace peridotarch
+
+#endif  // BALANCE_INSTANCE_LIST_H_
--- /dev/null
+++ b/balance/load_report.cc
@@ -0,0 +1,121 @@
+#include "balance/load_report.h"
+
+#include <algorithm>
+#include <concepts>
+
+#include "core/error.h"
+#include "core/hash.h"
+
+namespace peridotarch {
+
+namespace {
+
+constexpr size_t kTagBytes = 4;
+constexpr int64_t kMaxLatencyMs = 60'000;
+constexpr int kByteBits = 8;
+
+// Big-endian numbers of a fixed width keep a report of a few entries below
+// a hundred bytes; every byte crosses zones thousands of times a second.
+template <std::unsigned_integral T>
+void Put(std::string& out, T value) {
+  for (int shift = (sizeof(T) - 1) * kByteBits; shift >= 0;
+       shift -= kByteBits) {
+    out.push_back(static_cast<char>(value >> shift));
+  }
+}
+
+class field_reader {
+ public:
+  explicit field_reader(std::string_view text) : rest_(text) {}
+
+  template <std::unsigned_integral T>
+  T Take() {
+    if (rest_.size() < sizeof(T)) {
+      throw codec_error("load report is cut short");
+    }
+    uint64_t value = 0;
+    for (size_t i = 0; i < sizeof(T); ++i) {
+      value = value << kByteBits | static_cast<uint8_t>(rest_[i]);
+    }
+    rest_.remove_prefix(sizeof(T));
+    return static_cast<T>(value);
+  }
+
+  [[nodiscard]] bool empty() const { return rest_.empty(); }
+
+ private:
+  std::string_view rest_;
+};
+
+// A keyed checksum keeps out damaged datagrams and those of another fleet. A
+// report is advice on load, so the cost of a full signature on each of some
+// hundred datagrams a second buys nothing.
+uint32_t TagOf(std::string_view body, std::string_view fleet_key) {
+  return static_cast<uint32_t>(Hash64(body, Hash64(fleet_key)));
+}
+
+}  // namespace
+
+instance_key KeyOf(std::string_view instance_id) {
+  return static_cast<instance_key>(Hash64(instance_id));
+}
+
+std::string Encode(const load_report& report, std::string_view fleet_key) {
+  std::string body;
+  Put(body, report.incarnation);
+  Put(body, report.number);
+  Put(body, report.config_version);
+  Put(body, static_cast<uint8_t>(report.leaving));
+  Put(body, static_cast<uint8_t>(report.load.size()));
+  for (const load_entry& entry : report.load) {
+    Put(body, entry.instance);
+    Put(body, entry.in_flight);
+  }
+  for (const outcome_entry& entry : report.outcomes) {
+    Put(body, entry.number);
+    Put(body, entry.instance);
+    Put(body, static_cast<uint8_t>(entry.outcome));
+    Put(body, static_cast<uint16_t>(std::clamp<int64_t>(entry.latency.count(),
+                                                        0, kMaxLatencyMs)));
+  }
+  Put(body, TagOf(body, fleet_key));
+  return body;
+}
+
+load_report DecodeLoadReport(std::string_view datagram,
+                             std::string_view fleet_key) {
+  if (datagram.size() < kTagBytes) {
+    throw codec_error("load report is cut short");
+  }
+  const std::string_view body = datagram.substr(0, datagram.size() - kTagBytes);
+  field_reader tag(datagram.substr(body.size()));
+  if (tag.Take<uint32_t>() != TagOf(body, fleet_key)) {
+    throw codec_error("load report is damaged or of another fleet");
+  }
+  field_reader fields(body);
+  load_report report;
+  report.incarnation = fields.Take<uint64_t>();
+  report.number = fields.Take<uint32_t>();
+  report.config_version = fields.Take<uint64_t>();
+  report.leaving = fields.Take<uint8_t>() != 0;
+  report.load.resize(fields.Take<uint8_t>());
+  for (load_entry& entry : report.load) {
+    entry.instance = fields.Take<uint32_t>();
+    entry.in_flight = fields.Take<uint8_t>();
+  }
+  while (!fields.empty()) {
+    outcome_entry entry;
+    entry.number = fields.Take<uint32_t>();
+    entry.instance = fields.Take<uint32_t>();
+    const auto outcome = fields.Take<uint8_t>();
+    if (outcome >= names_of<attempt_outcome>::kTable.size()) {
+      throw codec_error("load report has an unknown outcome");
+    }
+    entry.outcome = static_cast<attempt_outcome>(outcome);
+    entry.latency = millis(fields.Take<uint16_t>());
+    report.outcomes.push_back(entry);
+  }
+  return report;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/balance/route_index.cc
@@ -0,0 +1,66 @@
+#include "balance/route_index.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace peridotarch {
+
+namespace {
+
+std::string NormalHost(std::string_view host) {
+  std::string name(host.substr(0, host.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return name;
+}
+
+}  // namespace
+
+route_index::route_index(fleet_config config) : config_(std::move(config)) {
+  for (const host_route& route : config_.routes) {
+    by_prefix_.emplace(NormalHost(route.host) + route.prefix, &route);
+  }
+  for (const fleet_service& service : config_.services) {
+    max_connections_.emplace(service.name, service.max_connections);
+  }
+}
+
+// Prefixes end with a slash, so one look-up for each slash of the path finds
+// the longest without visiting the other routes.
+const host_route* route_index::Find(std::string_view host,
+                                    std::string_view target) const {
+  const std::string_view path = target.substr(0, target.find_first_of("?#"));
+  const std::string name = NormalHost(host);
+  for (size_t end = path.rfind('/'); end != std::string_view::npos;
+       end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+    const auto found =
+        by_prefix_.find(name + std::string(path.substr(0, end + 1)));
+    if (found != by_prefix_.end()) {
+      return found->second;
+    }
+  }
+  return nullptr;
+}
+
+int route_index::MaxConnections(const std::string& service) const {
+  const auto found = max_connections_.find(service);
+  return found == max_connections_.end() ? 0 : found->second;
+}
+
+const std::string& PickService(const host_route& route, double draw) {
+  double total = 0;
+  for (const weighted_service& part : route.services) {
+    total += part.weight;
+  }
+  double point = draw * total;
+  for (const weighted_service& part : route.services) {
+    if (point < part.weight) {
+      return part.service;
+    }
+    point -= part.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace peridotarch
--- a/core/millis.h
+++ b/core/millis.h
@@ -47,6 +47,12 @@
   static millis Now();
 };
 
+/// Monotonic clock that goes on while the machine is suspended; its origin is
+/// arbitrary.
+struct boot_clock {
+  static millis Now();
+};
+
 /// Wall clock, in milliseconds since the Unix epoch.
 struct wall_clock {
   static millis Now();
--- /dev/null
+++ b/front/caller_call.cc
@@ -0,0 +1,304 @@
+#include "front/caller_call.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "balance/answer_rule.h"
+#include "core/invariant.h"
+#include "platform/call_wire.h"
+#include "platform/to_chrono.h"
+#include "proxy/message.h"
+
+namespace peridotarch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Instances stop work when the time is over and say so; their word arrives a
+// little later.
+constexpr millis kAnswerMargin(40);
+constexpr millis kLeastTime(10);  // below it no instance can answer
+constexpr int kMaxTries = 4;      // with those that could not be reached
+// An instance may have forgotten a connection without a word. What cannot be
+// repeated goes only on one that was in use a moment ago.
+constexpr millis kMaxIdleIdempotent(7'000);
+constexpr millis kMaxIdle(3'000);
+constexpr millis kRetryNoInstance(800);  // an entry is renewed every 1.5 s
+constexpr millis kRetryUnconfigured(500);
+
+/// One attempt at one instance.
+struct attempt_record {
+  board_choice choice;
+  exchange_result result;
+  answer_ruling ruling;
+  millis latency;
+};
+
+class call_run {
+ public:
+  call_run(front_node& here, http_request request, caller_call& call)
+      : here_(here),
+        request_(std::move(request)),
+        call_(call),
+        begun_(boot_clock::Now()) {}
+
+  awaitable<http_response> Run();
+
+ private:
+  std::optional<reason> Prepare();
+  awaitable<void> Try(attempt_record& attempt);
+  void Judge(attempt_record& attempt);
+  [[nodiscard]] bool MayRepeat(const attempt_record& attempt);
+  http_response Deliver(attempt_record& attempt);
+  http_response Refuse(reason why, millis retry_after);
+  http_response Fail(const attempt_record& attempt);
+  [[nodiscard]] reason WhyFailed(const attempt_record& attempt) const;
+  [[nodiscard]] board_call Wanted(millis now) const;
+  [[nodiscard]] millis Spread(millis span);
+  void LogAttempt(const attempt_record& attempt);
+  void LogAnswer(reason why, int status, millis retry_after);
+
+  front_node& here_;
+  const http_request request_;
+  caller_call& call_;
+  const millis begun_;
+  caller_terms terms_;
+  std::shared_ptr<const route_index> routes_;
+  const host_route* route_ = nullptr;
+  std::string service_;
+  millis until_;
+  std::vector<instance_key> tried_;
+  int sent_ = 0;          ///< Instances that a byte may have reached.
+  int may_have_run_ = 0;  ///< Attempts that may have run.
+};
+
+std::optional<reason> call_run::Prepare() {
+  terms_ = ReadTerms(request_);
+  routes_ = here_.routes.Load();
+  if (!routes_) {
+    return reason::kNotConfigured;
+  }
+  if (terms_.id.empty()) {
+    return reason::kBadRequest;
+  }
+  route_ = routes_->Find(request_[boost::beast::http::field::host],
+                         request_.target());
+  if (route_ == nullptr) {
+    return reason::kNoRoute;
+  }
+  service_ = PickService(*route_, here_.random.Unit());
+  call_.idempotent = route_->idempotent;
+  const millis allowed =
+      std::min(route_->timeout, terms_.time_left.value_or(route_->timeout));
+  until_ = begun_ + allowed;
+  here_.RetriesOf(service_).NoteRequest(begun_);
+  return std::nullopt;
+}
+
+board_call call_run::Wanted(millis now) const {
+  board_call wanted;
+  wanted.service = service_;
+  wanted.idempotent = route_->idempotent;
+  wanted.priority = route_->priority;
+  wanted.time_left = until_ - now;
+  wanted.tried = tried_;
+  return wanted;
+}
+
+// Spreads the returns of callers that are refused at the same moment.
+millis call_run::Spread(millis span) {
+  constexpr double kLeast = 0.5;
+  return millis(static_cast<int64_t>(static_cast<double>(span.count()) *
+                                     (kLeast + here_.random.Unit())));
+}
+
+awaitable<void> call_run::Try(attempt_record& attempt) {
+  const millis start = boot_clock::Now();
+  const instance_key key = attempt.choice.key;
+  exchange_order order;
+  order.instance = attempt.choice.instance;
+  order.request = ToInstanceRequest(request_, order.instance, until_ - start);
+  order.id = terms_.id;
+  order.time_left = until_ - start + kAnswerMargin;
+  order.max_idle = route_->idempotent ? kMaxIdleIdempotent : kMaxIdle;
+  const auto handle = std::make_shared<exchange_handle>();
+  call_.exchange = handle;
+  here_.board.Begin(key);
+  here_.load_changed(true);
+  asio::steady_timer slow(here_.context, ToChrono(attempt.choice.slow_after));
+  slow.async_wait([this, key](const boost::system::error_code& failure) {
+    if (!failure) {
+      here_.board.NoteEarly(key, attempt_outcome::kSlow, boot_clock::Now());
+      here_.LogHealthChanges();
+      here_.load_changed(true);
+    }
+  });
+  attempt.result = co_await here_.pool.Exchange(std::move(order), *handle);
+  const bool was_slow = slow.cancel() == 0;
+  call_.exchange = nullptr;
+  attempt.latency = boot_clock::Now() - start;
+  Judge(attempt);
+  if (was_slow && attempt.ruling.outcome == attempt_outcome::kOk) {
+    attempt.ruling.outcome = attempt_outcome::kUnknown;
+  }
+  const attempt_outcome outcome = attempt.ruling.outcome;
+  here_.board.End(key, outcome, attempt.latency, boot_clock::Now());
+  here_.LogHealthChanges();
+  here_.load_changed(outcome != attempt_outcome::kOk);
+}
+
+void call_run::Judge(attempt_record& attempt) {
+  const attempt_end& end = attempt.result.end;
+  answer_ruling& ruling = attempt.ruling;
+  if (end.ended == attempt_ending::kAnswered) {
+    ruling = JudgeAnswer(ReadFacts(attempt.result.answer));
+  } else {
+    ruling.said = JudgeAttempt(end);
+    ruling.outcome = OutcomeOf(end, attempt.result.reused);
+  }
+  if (end.written != written_part::kNothing) {
+    ++sent_;
+  }
+  if (ruling.said != verdict::kNotRun) {
+    ++may_have_run_;
+  }
+}
+
+bool call_run::MayRepeat(const attempt_record& attempt) {
+  const bool repeatable = route_->idempotent || may_have_run_ == 0;
+  const millis now = boot_clock::Now();
+  if (!repeatable || call_.caller_left || until_ - now <= kLeastTime ||
+      sent_ >= route_->max_attempts || tried_.size() >= kMaxTries) {
+    return false;
+  }
+  // What never left this node is no repeat for the service.
+  return attempt.result.end.written == written_part::kNothing ||
+         here_.RetriesOf(service_).TakeRetry(here_.nodes, now);
+}
+
+reason call_run::WhyFailed(const attempt_record& attempt) const {
+  if (attempt.result.end.ended != attempt_ending::kAnswered) {
+    return ReasonOf(attempt.result.end);
+  }
+  return attempt.ruling.said == verdict::kNotRun ? reason::kUpstreamShed
+                                                 : reason::kUpstreamMalformed;
+}
+
+void call_run::LogAttempt(const attempt_record& attempt) {
+  here_.log.Write("attempt", {{"request", terms_.id},
+                              {"route", route_->name},
+                              {"service", service_},
+                              {"config", routes_->config().version},
+                              {"instance", attempt.choice.instance.id},
+                              {"basis", ToName(attempt.choice.basis)},
+                              {"in_flight_there", attempt.choice.in_flight},
+                              {"ended", ToName(attempt.result.end.ended)},
+                              {"kept_connection", attempt.result.reused},
+                              {"status", attempt.result.answer.result_int()},
+                              {"outcome", ToName(attempt.ruling.outcome)},
+                              {"verdict", ToName(attempt.ruling.said)},
+                              {"ms", attempt.latency.count()}});
+}
+
+void call_run::LogAnswer(reason why, int status, millis retry_after) {
+  const millis taken = boot_clock::Now() - begun_;
+  here_.CountAnswer(why, taken);
+  if (why == reason::kAnswered) {
+    return;
+  }
+  here_.log.Write("answer", {{"request", terms_.id},
+                             {"service", service_},
+                             {"reason", ToName(why)},
+                             {"status", status},
+                             {"may_have_run", may_have_run_ > 0},
+                             {"sent", sent_},
+                             {"caller_left", call_.caller_left},
+                             {"retry_after_ms", retry_after.count()},
+                             {"instances", here_.board.size()},
+                             {"suspects", here_.board.suspects()},
+                             {"nodes", here_.nodes},
+                             {"ms", taken.count()}});
+}
+
+http_response call_run::Deliver(attempt_record& attempt) {
+  http_response answer = ToCallerAnswer(std::move(attempt.result.answer));
+  const bool head = request_.method() == boost::beast::http::verb::head;
+  Check(IsWhole(answer, head), invariant::kWholeAnswer);
+  LogAnswer(reason::kAnswered, static_cast<int>(answer.result_int()),
+            millis(0));
+  return answer;
+}
+
+http_response call_run::Refuse(reason why, millis retry_after) {
+  const reply_rule rule = ReplyFor(why);
+  LogAnswer(why, rule.status, retry_after);
+  return OwnAnswer(rule.status, terms_.id, std::string(ToName(why)),
+                   retry_after);
+}
+
+http_response call_run::Fail(const attempt_record& attempt) {
+  const reason why = WhyFailed(attempt);
+  if (may_have_run_ == 0) {
+    return Refuse(why, Spread(kRetryUnconfigured));
+  }
+  // An earlier attempt may have run even if the last one did not.
+  const bool promises = ReplyFor(why).said == verdict::kNotRun;
+  return Refuse(promises ? reason::kUpstreamReset : why, millis(0));
+}
+
+awaitable<http_response> call_run::Run() {
+  if (const auto refused = Prepare()) {
+    const bool soon = *refused == reason::kNotConfigured;
+    co_return Refuse(*refused, soon ? Spread(kRetryUnconfigured) : millis(0));
+  }
+  attempt_record attempt;
+  for (;;) {
+    const millis now = boot_clock::Now();
+    attempt_record next;
+    next.choice = here_.board.Choose(Wanted(now), now);
+    if (next.choice.basis == choice_basis::kNoInstance ||
+        next.choice.basis == choice_basis::kOverload) {
+      if (!tried_.empty()) {
+        break;
+      }
+      const bool none = next.choice.basis == choice_basis::kNoInstance;
+      co_return Refuse(
+          none ? reason::kNoCapacity : reason::kOverloaded,
+          Spread(none ? kRetryNoInstance : next.choice.retry_after));
+    }
+    attempt = std::move(next);
+    co_await Try(attempt);
+    tried_.push_back(attempt.choice.key);
+    LogAttempt(attempt);
+    const bool good = attempt.ruling.deliver &&
+                      (attempt.ruling.outcome == attempt_outcome::kOk ||
+                       attempt.ruling.outcome == attempt_outcome::kUnknown);
+    if (good || !MayRepeat(attempt)) {
+      break;
+    }
+  }
+  Check(route_->idempotent || may_have_run_ <= 1, invariant::kAtMostOnce);
+  co_return attempt.ruling.deliver ? Deliver(attempt) : Fail(attempt);
+}
+
+}  // namespace
+
+void caller_call::CallerLeft() {
+  caller_left = true;
+  if (exchange && (idempotent || !exchange->Began())) {
+    exchange->Cancel();
+  }
+}
+
+awaitable<http_response> RunCall(front_node& here, http_request request,
+                                 caller_call& call) {
+  call_run run(here, std::move(request), call);
+  co_return co_await run.Run();
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/front/front_daemon.cc
@@ -0,0 +1,210 @@
+#include "front/front_daemon.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "core/error.h"
+#include "core/invariant.h"
+#include "front/caller_session.h"
+#include "front/front_node.h"
+#include "front/peer_link.h"
+#include "front/store_watch.h"
+#include "platform/boot_settings.h"
+#include "platform/call_wire.h"
+#include "proxy/executor.h"
+
+namespace peridotarch {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int kBacklog = 512;
+constexpr millis kAcceptPause(50);
+constexpr millis kProbeIdle(10'000);
+// The balancer takes a node out after two missed checks a second apart.
+constexpr millis kNoticeTime(2'500);
+constexpr millis kCloseMargin(1'600);  // idle connections, before the kill
+constexpr millis kEndMargin(400);      // the process, before the kill
+constexpr millis kQuietCheck(50);
+
+using serve = std::function<awaitable<void>(boost::beast::tcp_stream)>;
+
+tcp::acceptor Listen(asio::io_context& context, const host_port& at) {
+  tcp::acceptor acceptor(context);
+  try {
+    const tcp::endpoint local(asio::ip::make_address(at.host), at.port);
+    acceptor.open(local.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(local);
+    acceptor.listen(kBacklog);
+  } catch (const boost::system::system_error& failure) {
+    throw settings_error("cannot listen on " + at.host + ":" +
+                         std::to_string(at.port) + ": " + failure.what());
+  }
+  return acceptor;
+}
+
+awaitable<void> Accept(tcp::acceptor& acceptor, serve run) {
+  const asio::any_io_executor on = acceptor.get_executor();
+  while (acceptor.is_open()) {
+    error_code failure;
+    tcp::socket socket = co_await acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+      // Out of descriptors, or the caller left in the backlog.
+      co_await Sleep(on, kAcceptPause);
+      continue;
+    }
+    socket.set_option(tcp::no_delay(true), failure);
+    auto session = run(boost::beast::tcp_stream(std::move(socket)));
+    asio::co_spawn(on, std::move(session), asio::detached);
+  }
+}
+
+http_response AnswerProbe(front_node& here, const http_request& request) {
+  constexpr int kHttp11 = 11;
+  if (request.target() == "/metrics") {
+    http_response answer(http::status::ok, kHttp11);
+    answer.set(http::field::content_type, "text/plain; version=0.0.4");
+    answer.body() = here.counters.ToText();
+    answer.prepare_payload();
+    return answer;
+  }
+  http_response answer(
+      here.Ready() ? http::status::ok : http::status::service_unavailable,
+      kHttp11);
+  answer.body() = here.Ready() ? "ready\n" : "not ready\n";
+  answer.prepare_payload();
+  return answer;
+}
+
+// Serves the balancer's checks and the scraping of metrics.
+awaitable<void> ServeProbe(std::shared_ptr<front_node> here,
+                           boost::beast::tcp_stream stream) {
+  http_session session(std::move(stream));
+  read_limits limits;
+  limits.idle = kProbeIdle;
+  for (;;) {
+    const read_outcome read = co_await session.Read(limits);
+    if (!read.request) {
+      break;
+    }
+    http_response answer = AnswerProbe(*here, *read.request);
+    const bool more =
+        co_await session.Write(std::move(answer), read.request->keep_alive());
+    if (!more) {
+      break;
+    }
+  }
+  session.Close();
+}
+
+// Not ready first; callers' open connections are served until the balancer
+// has taken the node out, then those that are idle are closed.
+awaitable<void> ShutDown(std::shared_ptr<front_node> here,
+                         std::shared_ptr<peer_link> peers) {
+  const asio::any_io_executor on = here->context.get_executor();
+  const millis begun = boot_clock::Now();
+  const millis end = begun + here->settings.grace - kEndMargin;
+  here->draining = true;
+  here->log.Write("stopping", {{"in_flight", here->in_flight},
+                               {"connections", here->sessions.size()}});
+  peers->SayLeaving();
+  const auto close_at = std::max(begun + kNoticeTime,
+                                 begun + here->settings.grace - kCloseMargin);
+  while (boot_clock::Now() < end) {
+    const millis now = boot_clock::Now();
+    if (now >= close_at) {
+      const std::vector<caller_session*> open(here->sessions.begin(),
+                                              here->sessions.end());
+      for (caller_session* session : open) {
+        session->CloseIfIdle();
+      }
+    }
+    const bool noticed = now >= begun + kNoticeTime;
+    if (noticed && here->in_flight == 0 && here->sessions.empty()) {
+      break;
+    }
+    co_await Sleep(on, kQuietCheck);
+  }
+  Check(here->in_flight == 0, invariant::kGracefulShutdown);
+  here->log.Write("stopped", {{"in_flight", here->in_flight}});
+  here->context.stop();
+}
+
+// A bad file leaves the settings in force.
+void Reload(front_node& here, const std::string& path) {
+  try {
+    const node_settings fresh = ReadBootSettings(path);
+    here.settings.retries = fresh.retries;
+    here.settings.grace = fresh.grace;
+    here.settings.drain = fresh.drain;
+    here.log.Write("reloaded", {{"retry_ratio", fresh.retries.ratio},
+                                {"retry_slack", fresh.retries.slack},
+                                {"grace_ms", fresh.grace.count()}});
+  } catch (const settings_error& bad) {
+    here.log.Write("reload_refused", {{"error", bad.what()}});
+  }
+}
+
+awaitable<void> ReloadOnHangUp(std::shared_ptr<front_node> here,
+                               std::string path) {
+  asio::signal_set hang_up(here->context, SIGHUP);
+  for (;;) {
+    co_await hang_up.async_wait(asio::use_awaitable);
+    Reload(*here, path);
+  }
+}
+
+}  // namespace
+
+void RunFrontDaemon(const std::string& settings_path) {
+  const node_settings settings = ReadBootSettings(settings_path);
+  asio::io_context context(1);
+  const auto seed = static_cast<uint64_t>(wall_clock::Now().count());
+  const auto here = std::make_shared<front_node>(context, settings,
+                                                 seed ^ KeyOf(settings.node));
+  here->log.Write(
+      "started", {{"zone", settings.zone}, {"incarnation", here->incarnation}});
+  std::signal(SIGPIPE, SIG_IGN);
+  tcp::acceptor callers = Listen(context, settings.callers);
+  tcp::acceptor ready = Listen(context, settings.ready);
+  tcp::acceptor metrics =
+      Listen(context, {settings.callers.host, settings.metrics_port});
+  const auto peers = std::make_shared<peer_link>(here);
+  const auto watch = std::make_shared<store_watch>(here);
+  asio::signal_set stop(context, SIGTERM, SIGINT);
+  stop.async_wait([&](const error_code& failure, int) {
+    if (!failure) {
+      asio::co_spawn(context, ShutDown(here, peers), asio::detached);
+    }
+  });
+  asio::co_spawn(context, ReloadOnHangUp(here, settings_path), asio::detached);
+  peers->Start([watch] { watch->FetchConfig(); });
+  watch->Start([peers](const host_port& peer) { peers->AddPeer(peer); });
+  const serve probe = [here](boost::beast::tcp_stream stream) {
+    return ServeProbe(here, std::move(stream));
+  };
+  const serve caller = [here](boost::beast::tcp_stream stream) {
+    return ServeFrontCaller(here, std::move(stream));
+  };
+  asio::co_spawn(context, Accept(ready, probe), asio::detached);
+  asio::co_spawn(context, Accept(metrics, probe), asio::detached);
+  asio::co_spawn(context, Accept(callers, caller), asio::detached);
+  context.run();
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/front/front_daemon.h
@@ -0,0 +1,14 @@
+#ifndef FRONT_FRONT_DAEMON_H_
+#define FRONT_FRONT_DAEMON_H_
+
+#include <string>
+
+namespace peridotarch {
+
+/// Serves callers on the platform until SIGTERM. `settings_path` is read
+/// again on SIGHUP. Throws settings_error.
+void RunFrontDaemon(const std::string& settings_path);
+
+}  // namespace peridotarch
+
+#endif  // FRONT_FRONT_DAEMON_H_
--- /dev/null
+++ b/front/front_node.cc
@@ -0,0 +1,53 @@
+#include "front/front_node.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace peridotarch {
+
+namespace {
+
+constexpr int64_t kMicrosPerMilli = 1000;
+
+}  // namespace
+
+front_node::front_node(boost::asio::io_context& io, node_settings given,
+                       uint64_t seed)
+    : context(io),
+      settings(std::move(given)),
+      incarnation(static_cast<uint64_t>(wall_clock::Now().count())),
+      routes(nullptr),
+      board(settings.zone, seed),
+      pool(io),
+      random(seed + 1),
+      log(settings.node) {}
+
+bool front_node::Ready() const {
+  return !draining && instances_known && routes.Load() != nullptr;
+}
+
+retry_window& front_node::RetriesOf(const std::string& service) {
+  return retries.try_emplace(service, settings.retries).first->second;
+}
+
+void front_node::CountAnswer(reason why, millis taken) {
+  counters
+      .Counter("answers_total", "Answers to callers by reason.",
+               {{"reason", std::string(ToName(why))}})
+      .Add();
+  counters.Latency("request_seconds", "Time from a request to its answer.")
+      .Record(static_cast<uint64_t>(taken.count() * kMicrosPerMilli));
+}
+
+void front_node::LogHealthChanges() {
+  for (const health_change& change : board.TakeChanges()) {
+    log.Write(change.suspect ? "instance_suspect" : "instance_cleared",
+              {{"instance", change.instance},
+               {"cause", ToName(change.cause)},
+               {"told_by", change.told_by},
+               {"suspects", board.suspects()},
+               {"instances", board.size()}});
+  }
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/front/instance_connection.h
@@ -0,0 +1,30 @@
+#ifndef FRONT_INSTANCE_CONNECTION_H_
+#define FRONT_INSTANCE_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "core/millis.h"
+#include "platform/http_client.h"
+
+namespace peridotarch {
+
+/// One connection to an instance and what it is sending.
+class instance_connection {
+ public:
+  explicit instance_connection(boost::asio::io_context& context)
+      : stream(context) {}
+
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  http_request sending;
+  bool sent = false;   ///< The whole request has been written.
+  bool began = false;  ///< A part of it may have been written.
+  millis idle_since;
+  millis idle_limit;  ///< The instance closes it after this long.
+};
+
+}  // namespace peridotarch
+
+#endif  // FRONT_INSTANCE_CONNECTION_H_
--- /dev/null
+++ b/front/store_watch.h
@@ -0,0 +1,54 @@
+#ifndef FRONT_STORE_WATCH_H_
+#define FRONT_STORE_WATCH_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "balance/instance_list.h"
+#include "front/front_node.h"
+#include "platform/awaitable.h"
+#include "platform/store_client.h"
+#include "platform/store_records.h"
+
+namespace peridotarch {
+
+/// Follows the platform's store: the configuration, the instances, and the
+/// other nodes of the fleet.
+class store_watch {
+ public:
+  explicit store_watch(std::shared_ptr<front_node> here);
+
+  /// Starts to follow; `on_peer` is called for each node that is found.
+  void Start(std::function<void(const host_port&)> on_peer);
+  /// Reads the configuration now: a peer has a newer one.
+  void FetchConfig();
+
+ private:
+  awaitable<void> FollowConfig();
+  awaitable<void> FollowInstances();
+  awaitable<void> Announce();
+  awaitable<void> FetchConfigOnce();
+  awaitable<void> ReadConfig();
+  awaitable<void> ReadInstances();
+  void TakeConfig(const keyed_page& page);
+  void TakeInstances(const keyed_page& page, bool whole);
+  void PublishInstances();
+  void NoteStore(bool reached, const std::string& call,
+                 const std::string& detail);
+
+  const std::shared_ptr<front_node> here_;
+  store_client config_client_;
+  store_client instance_client_;
+  store_client other_client_;
+  std::optional<uint64_t> config_next_;
+  std::optional<uint64_t> instances_next_;
+  instance_list instances_;
+  bool fetching_ = false;
+  bool reached_ = true;
+  std::function<void(const host_port&)> on_peer_;
+};
+
+}  // namespace peridotarch
+
+#endif  // FRONT_STORE_WATCH_H_
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -55,7 +55,9 @@
                             boost::beast::tcp_stream stream) {
   http_session session(std::move(stream));
   for (;;) {
-    read_outcome read = co_await session.Read(kIdle);
+    read_limits limits;
+    limits.idle = kIdle;
+    read_outcome read = co_await session.Read(limits);
     if (!read.request) {
       if (read.refused) {
         call_result refused = Refusal(*read.refused);
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr millis kRequestTimeout(15'000);  // from its first byte to its last
+constexpr size_t kFirstRead = 4096;
 constexpr millis kWriteTimeout(15'000);
 constexpr int kHttp11 = 11;
 
@@ -54,22 +54,22 @@
 http_session::http_session(beast::tcp_stream stream)
     : stream_(std::move(stream)) {}
 
-awaitable<read_outcome> http_session::Read(millis idle) {
+awaitable<read_outcome> http_session::Read(read_limits limits) {
   error_code failure;
   if (buffer_.size() == 0) {
-    stream_.expires_after(ToChrono(idle));
+    stream_.expires_after(ToChrono(limits.idle));
     const size_t got = co_await stream_.async_read_some(
-        buffer_.prepare(kMaxHeaderBytes),
+        buffer_.prepare(kFirstRead),
         asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
       co_return read_outcome{};
     }
     buffer_.commit(got);
   }
-  stream_.expires_after(ToChrono(kRequestTimeout));
+  stream_.expires_after(ToChrono(limits.head_timeout));
   http::request_parser<http::empty_body> head;
-  head.header_limit(kMaxHeaderBytes);
-  head.body_limit(kMaxBodyBytes);
+  head.header_limit(limits.header_bytes);
+  head.body_limit(limits.body_bytes);
   co_await http::async_read_header(
       stream_, buffer_, head,
       asio::redirect_error(asio::use_awaitable, failure));
@@ -79,12 +79,13 @@
   if (const auto why = CheckHead(head.get())) {
     co_return Refused(*why);
   }
-  co_return co_await ReadBody(head);
+  co_return co_await ReadBody(head, limits);
 }
 
 awaitable<read_outcome> http_session::ReadBody(
-    http::request_parser<http::empty_body>& head) {
+    http::request_parser<http::empty_body>& head, const read_limits& limits) {
   error_code failure;
+  stream_.expires_after(ToChrono(limits.body_timeout));
   if (beast::iequals(head.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> go_on(http::status::continue_, kHttp11);
     co_await http::async_write(
@@ -94,7 +95,7 @@
     }
   }
   http::request_parser<http::string_body> whole(std::move(head));
-  whole.body_limit(kMaxBodyBytes);
+  whole.body_limit(limits.body_bytes);
   co_await http::async_read(stream_, buffer_, whole,
                             asio::redirect_error(asio::use_awaitable, failure));
   if (failure) {
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -11,9 +11,19 @@
 #include "platform/awaitable.h"
 #include "platform/http_client.h"
 #include "proxy/call.h"
+#include "proxy/message.h"
 
 namespace peridotarch {
 
+/// What a peer may send on a connection, and how slowly.
+struct read_limits {
+  millis idle;                           ///< For the first byte.
+  millis head_timeout = millis(15'000);  ///< From there to the head's end.
+  millis body_timeout = millis(15'000);  ///< From there to the body's end.
+  uint32_t header_bytes = kMaxHeaderBytes;
+  uint64_t body_bytes = kMaxBodyBytes;
+};
+
 /// What reading one request from a connection gave.
 struct read_outcome {
   std::optional<http_request> request;  ///< A whole request.
@@ -26,8 +36,8 @@
  public:
   explicit http_session(boost::beast::tcp_stream stream);
 
-  /// Reads a request. Waits up to `idle` for its first byte.
-  awaitable<read_outcome> Read(millis idle);
+  /// Reads a request within the limits.
+  awaitable<read_outcome> Read(read_limits limits);
 
   /// Writes a reply; returns false when the connection is of no more use.
   awaitable<bool> Write(http_response reply, bool keep_alive);
@@ -39,7 +49,8 @@
 
  private:
   awaitable<read_outcome> ReadBody(
-      boost::beast::http::request_parser<boost::beast::http::empty_body>& head);
+      boost::beast::http::request_parser<boost::beast::http::empty_body>& head,
+      const read_limits& limits);
 
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
--- a/proxy/main.cc
+++ b/proxy/main.cc
@@ -2,11 +2,14 @@
 
 #include <glog/logging.h>
 
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 
 #include "core/error.h"
 #include "core/exit_code.h"
+#include "front/front_daemon.h"
+#include "platform/boot_settings.h"
 #include "proxy/daemon.h"
 #include "proxy/settings.h"
 
@@ -16,6 +19,10 @@
 using peridotarch::ToInt;
 
 int Run(int argc, char** argv) {
+  if (const char* boot = std::getenv(peridotarch::kBootVariable)) {
+    peridotarch::RunFrontDaemon(boot);
+    return ToInt(exit_code::kOk);
+  }
   const auto settings = peridotarch::ReadProxySettings(argc, argv);
   if (!settings.notice.empty()) {
     std::cout << settings.notice;
--- a/proxy/peer_session.cc
+++ b/proxy/peer_session.cc
@@ -70,7 +70,9 @@
   const std::string nonce = MakeNonce();
   channel marks(here->settings.fleet_key, nonce);
   for (;;) {
-    read_outcome read = co_await session.Read(kIdle);
+    read_limits limits;
+    limits.idle = kIdle;
+    read_outcome read = co_await session.Read(limits);
     if (!read.request) {
       break;
     }
