Leaving instances, moved addresses and the retry budget

Cause: entries that an outage of this node's own path had hidden were kept for two seconds after any later removal (DRAIN on both sites); a 421 left the instance in use; each node's slice of the retry budget was used up while the fleet's was not; a failed fetch of the configuration was repeated six times a second. Ruled out: an older word of the instance being ignored (traced: the entry was removed, not drained). Change: the grace holds for what is missing at the first sight of the store after an outage; 421 leaves the instance out for five seconds; nodes report what they took from the budget; entries are followed by a waiting read with a pause.

--- a/balance/instance_board.cc
+++ b/balance/instance_board.cc
@@ -27,6 +27,8 @@
 constexpr int kShareSteps = 3;
 constexpr millis kUnreachableHold(500);
 constexpr int kUnreachableSteps = 3;  // doubled this often
+// An address that another instance has taken stays taken; the entry goes soon.
+constexpr millis kMovedHold(5'000);
 constexpr size_t kMaxRecent = 8;
 constexpr millis kRepeatOutcomes(600);  // bridges a few lost reports
 constexpr int kMaxReported = 255;
@@ -236,6 +238,9 @@
                : mean + kMeanWeight *
                             (std::min(seen, mean * kMeanMostFactor) - mean);
   }
+  if (outcome == attempt_outcome::kMoved) {
+    one.unreachable_until = now + kMovedHold;
+  }
   if (one.health.Note(outcome, now)) {
     changes_.push_back(
         {one.entry.id, one.health.suspect(), one.health.cause(), told_by});
--- a/balance/instance_list.cc
+++ b/balance/instance_list.cc
@@ -1,5 +1,6 @@
 #include "balance/instance_list.h"
 
+#include <algorithm>
 #include <set>
 
 namespace peridotarch {
@@ -7,9 +8,8 @@
 namespace {
 
 // After an outage of the store live instances are listed again within two
-// seconds.
-constexpr millis kOutageAftermath(3'000);
-constexpr millis kLapseGrace(2'000);
+// seconds; some of that has passed when this node reads it.
+constexpr millis kLapseGrace(1'700);
 
 bool SameToBalancing(const instance_entry& left, const instance_entry& right) {
   return left.service == right.service && left.address == right.address &&
@@ -43,8 +43,7 @@
   if (found == entries_.end() || found->second.lapsed) {
     return;
   }
-  const bool aftermath = now - away_at_ < kOutageAftermath;
-  if (!aftermath || found->second.entry.draining) {
+  if (!away_ || found->second.entry.draining) {
     entries_.erase(found);
     changed_ = true;
     return;
@@ -80,6 +79,11 @@
   return changed;
 }
 
+bool instance_list::Unsettled() const {
+  return std::any_of(entries_.begin(), entries_.end(),
+                     [](const auto& item) { return item.second.lapsed; });
+}
+
 std::vector<instance_entry> instance_list::Entries() const {
   std::vector<instance_entry> entries;
   entries.reserve(entries_.size());
--- a/balance/instance_list.h
+++ b/balance/instance_list.h
@@ -10,9 +10,9 @@
 
 namespace peridotarch {
 
-/// The instances as service discovery lists them. Entries that lapse while
-/// the store has been away are kept for a moment: a live instance renews its
-/// entry soon after the store is back. Not thread-safe.
+/// The instances as service discovery lists them. Entries that are missing at
+/// the first sight of the store after an outage are kept for a moment: a live
+/// instance renews its entry soon after the store is back. Not thread-safe.
 class instance_list {
  public:
   /// Takes an entry. An older word of the same start is ignored.
@@ -22,13 +22,17 @@
   /// Replaces everything by the store's newest entries.
   void Replace(const std::vector<instance_entry>& entries, millis now);
   /// The store could not be read.
-  void NoteStoreAway(millis now) { away_at_ = now; }
+  void NoteStoreAway() { away_ = true; }
+  /// The store has been read, and all it said was put or removed.
+  void NoteStoreRead() { away_ = false; }
   /// Drops what has lapsed for good; returns whether the list has changed
   /// since the last call.
   bool Settle(millis now);
 
   [[nodiscard]] std::vector<instance_entry> Entries() const;
   [[nodiscard]] size_t size() const { return entries_.size(); }
+  /// Returns whether entries wait to be dropped.
+  [[nodiscard]] bool Unsettled() const;
 
  private:
   struct listed {
@@ -38,7 +42,7 @@
   };
 
   std::map<std::string, listed> entries_;
-  millis away_at_ = millis(-1'000'000);
+  bool away_ = false;
   bool changed_ = false;
 };
 
--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -71,6 +71,12 @@
     Put(body, entry.instance);
     Put(body, entry.in_flight);
   }
+  Put(body, static_cast<uint8_t>(report.usage.size()));
+  for (const retry_usage& entry : report.usage) {
+    Put(body, entry.service);
+    Put(body, entry.requests);
+    Put(body, entry.retries);
+  }
   for (const outcome_entry& entry : report.outcomes) {
     Put(body, entry.number);
     Put(body, entry.instance);
@@ -103,6 +109,12 @@
     entry.instance = fields.Take<uint32_t>();
     entry.in_flight = fields.Take<uint8_t>();
   }
+  report.usage.resize(fields.Take<uint8_t>());
+  for (retry_usage& entry : report.usage) {
+    entry.service = fields.Take<uint32_t>();
+    entry.requests = fields.Take<uint16_t>();
+    entry.retries = fields.Take<uint16_t>();
+  }
   while (!fields.empty()) {
     outcome_entry entry;
     entry.number = fields.Take<uint32_t>();
--- a/balance/load_report.h
+++ b/balance/load_report.h
@@ -35,6 +35,16 @@
   bool operator==(const outcome_entry&) const = default;
 };
 
+/// The requests for a service that one node took in the retry window, and the
+/// repeated sends among them.
+struct retry_usage {
+  uint32_t service = 0;  ///< Key of the service's name.
+  uint16_t requests = 0;
+  uint16_t retries = 0;
+
+  bool operator==(const retry_usage&) const = default;
+};
+
 /// What a node tells its peers: its whole load and its latest outcomes. Each
 /// report repeats outcomes of the ones before it, so a lost one does no harm.
 struct load_report {
@@ -43,6 +53,7 @@
   uint64_t config_version = 0;
   bool leaving = false;  ///< The process is shutting down.
   std::vector<load_entry> load;
+  std::vector<retry_usage> usage;
   std::vector<outcome_entry> outcomes;
 
   bool operator==(const load_report&) const = default;
--- a/balance/node_settings.h
+++ b/balance/node_settings.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-#include "balance/retry_window.h"
+#include "balance/retry_pool.h"
 #include "core/host_port.h"
 #include "core/millis.h"
 
--- /dev/null
+++ b/balance/retry_pool.cc
@@ -0,0 +1,87 @@
+#include "balance/retry_pool.h"
+
+#include <algorithm>
+
+namespace peridotarch {
+
+namespace {
+
+// Reports are up to a second old, and what a process took before it ended is
+// forgotten with it.
+constexpr double kUsableShare = 0.75;
+constexpr millis kFresh(2'500);
+// A peer that has been silent for this long no longer has a claim.
+constexpr millis kForgotten(30'000);
+
+void DropBefore(std::deque<millis>& times, millis oldest) {
+  while (!times.empty() && times.front() < oldest) {
+    times.pop_front();
+  }
+}
+
+uint16_t Count(const std::deque<millis>& times) {
+  return static_cast<uint16_t>(std::min<size_t>(times.size(), UINT16_MAX));
+}
+
+}  // namespace
+
+retry_pool::own_usage& retry_pool::Own(uint32_t service, millis now) {
+  own_usage& own = own_[service];
+  DropBefore(own.requests, now - bound_.window);
+  DropBefore(own.retries, now - bound_.window);
+  return own;
+}
+
+void retry_pool::NoteRequest(std::string_view service, millis now) {
+  Own(KeyOf(service), now).requests.push_back(now);
+}
+
+// A node that hears only some of its peers uses only their part of the slack:
+// the others may be using theirs.
+bool retry_pool::TakeRetry(std::string_view service, millis now) {
+  const uint32_t key = KeyOf(service);
+  own_usage& own = Own(key, now);
+  auto requests = static_cast<double>(own.requests.size());
+  auto retries = static_cast<double>(own.retries.size());
+  int heard = 1;
+  int known = 1;
+  for (const auto& [name, peer] : peers_) {
+    known += now - peer.heard < kForgotten ? 1 : 0;
+    if (now - peer.heard >= kFresh) {
+      continue;
+    }
+    ++heard;
+    for (const retry_usage& usage : peer.usage) {
+      if (usage.service == key) {
+        requests += usage.requests;
+        retries += usage.retries;
+      }
+    }
+  }
+  const double slack = bound_.slack * heard / known;
+  if (retries + 1 > kUsableShare * (bound_.ratio * requests + slack)) {
+    return false;
+  }
+  own.retries.push_back(now);
+  return true;
+}
+
+void retry_pool::Apply(const std::string& peer,
+                       std::span<const retry_usage> usage, millis now) {
+  peer_usage& known = peers_[peer];
+  known.heard = now;
+  known.usage.assign(usage.begin(), usage.end());
+}
+
+std::vector<retry_usage> retry_pool::Usage(millis now) {
+  std::vector<retry_usage> usage;
+  for (const auto& [service, unused] : own_) {
+    const own_usage& own = Own(service, now);
+    if (!own.requests.empty() || !own.retries.empty()) {
+      usage.push_back({service, Count(own.requests), Count(own.retries)});
+    }
+  }
+  return usage;
+}
+
+}  // namespace peridotarch
--- a/front/caller_call.cc
+++ b/front/caller_call.cc
@@ -96,7 +96,7 @@
   const millis allowed =
       std::min(route_->timeout, terms_.time_left.value_or(route_->timeout));
   until_ = begun_ + allowed;
-  here_.RetriesOf(service_).NoteRequest(begun_);
+  here_.retries.NoteRequest(service_, begun_);
   return std::nullopt;
 }
 
@@ -178,7 +178,7 @@
   }
   // What never left this node is no repeat for the service.
   return attempt.result.end.written == written_part::kNothing ||
-         here_.RetriesOf(service_).TakeRetry(here_.nodes, now);
+         here_.retries.TakeRetry(service_, now);
 }
 
 reason call_run::WhyFailed(const attempt_record& attempt) const {
@@ -190,19 +190,21 @@
 }
 
 void call_run::LogAttempt(const attempt_record& attempt) {
-  here_.log.Write("attempt", {{"request", terms_.id},
-                              {"route", route_->name},
-                              {"service", service_},
-                              {"config", routes_->config().version},
-                              {"instance", attempt.choice.instance.id},
-                              {"basis", ToName(attempt.choice.basis)},
-                              {"in_flight_there", attempt.choice.in_flight},
-                              {"ended", ToName(attempt.result.end.ended)},
-                              {"kept_connection", attempt.result.reused},
-                              {"status", attempt.result.answer.result_int()},
-                              {"outcome", ToName(attempt.ruling.outcome)},
-                              {"verdict", ToName(attempt.ruling.said)},
-                              {"ms", attempt.latency.count()}});
+  const bool answered = attempt.result.end.ended == attempt_ending::kAnswered;
+  here_.log.Write(
+      "attempt", {{"request", terms_.id},
+                  {"route", route_->name},
+                  {"service", service_},
+                  {"config", routes_->config().version},
+                  {"instance", attempt.choice.instance.id},
+                  {"basis", ToName(attempt.choice.basis)},
+                  {"in_flight_there", attempt.choice.in_flight},
+                  {"ended", ToName(attempt.result.end.ended)},
+                  {"kept_connection", attempt.result.reused},
+                  {"status", answered ? attempt.result.answer.result_int() : 0},
+                  {"outcome", ToName(attempt.ruling.outcome)},
+                  {"verdict", ToName(attempt.ruling.said)},
+                  {"ms", attempt.latency.count()}});
 }
 
 void call_run::LogAnswer(reason why, int status, millis retry_after) {
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -149,7 +149,7 @@
 void Reload(front_node& here, const std::string& path) {
   try {
     const node_settings fresh = ReadBootSettings(path);
-    here.settings.retries = fresh.retries;
+    here.retries.SetBound(fresh.retries);
     here.settings.grace = fresh.grace;
     here.settings.drain = fresh.drain;
     here.log.Write("reloaded", {{"retry_ratio", fresh.retries.ratio},
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -20,16 +20,13 @@
       board(settings.zone, seed),
       pool(io),
       random(seed + 1),
-      log(settings.node) {}
+      log(settings.node),
+      retries(settings.retries) {}
 
 bool front_node::Ready() const {
   return !draining && instances_known && routes.Load() != nullptr;
 }
 
-retry_window& front_node::RetriesOf(const std::string& service) {
-  return retries.try_emplace(service, settings.retries).first->second;
-}
-
 void front_node::CountAnswer(reason why, millis taken) {
   counters
       .Counter("answers_total", "Answers to callers by reason.",
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -3,14 +3,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
 
 #include "balance/instance_board.h"
 #include "balance/node_settings.h"
-#include "balance/retry_window.h"
+#include "balance/retry_pool.h"
 #include "balance/route_index.h"
 #include "core/metrics.h"
 #include "core/rcu_cell.h"
@@ -35,8 +34,8 @@
   random_bits random;
   decision_log log;
   metrics counters;
-  std::map<std::string, retry_window> retries;  ///< By service.
-  std::set<caller_session*> sessions;           ///< Open caller connections.
+  retry_pool retries;
+  std::set<caller_session*> sessions;  ///< Open caller connections.
   /// Tells the peers of a change of load; `at_once` for starts and failures.
   std::function<void(bool at_once)> load_changed = [](bool) {};
   int nodes = 1;      ///< Of the fleet that have been heard lately.
@@ -46,8 +45,6 @@
 
   /// Returns whether the node can serve new callers.
   [[nodiscard]] bool Ready() const;
-  /// Returns the retry budget of a service.
-  retry_window& RetriesOf(const std::string& service);
   /// Counts an answer of this node and says why it was given.
   void CountAnswer(reason why, millis taken);
   /// Logs the changes of belief that the board has gathered.
--- a/front/peer_link.cc
+++ b/front/peer_link.cc
@@ -87,6 +87,7 @@
   report.incarnation = here_->incarnation;
   report.number = ++number_;
   report.leaving = here_->draining;
+  report.usage = here_->retries.Usage(now);
   if (const auto routes = here_->routes.Load()) {
     report.config_version = routes->config().version;
   }
@@ -149,6 +150,7 @@
     known.heard = now;
     known.leaving = report.leaving;
     here_->board.Apply(from.address().to_string(), report, now);
+    here_->retries.Apply(from.address().to_string(), report.usage, now);
     here_->LogHealthChanges();
     const auto routes = here_->routes.Load();
     if (report.config_version > (routes ? routes->config().version : 0)) {
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -19,8 +19,13 @@
 // connection that has gone silent is noticed after wait and margin.
 constexpr millis kConfigWait(3'000);
 constexpr millis kCallTimeout(700);
-// An instance that leaves gets no new work two seconds after it says so.
-constexpr millis kInstanceInterval(800);
+// Entries change when an instance comes, leaves or starts to drain. A pause
+// between reads gathers the changes of a release into few calls and still lets
+// a leaving instance be known well within two seconds.
+constexpr millis kInstanceWait(3'000);
+constexpr millis kInstancePause(500);
+// While lapsed entries wait to be dropped.
+constexpr millis kSettleWait(200);
 constexpr millis kFirstRetry(150);  // while this node cannot serve yet
 constexpr millis kRetry(900);       // every call is paid for, refused ones too
 
@@ -50,7 +55,7 @@
                {{"call", call}, {"result", reached ? "ok" : "failed"}})
       .Add();
   if (!reached) {
-    instances_.NoteStoreAway(boot_clock::Now());
+    instances_.NoteStoreAway();
   }
   if (reached != reached_) {
     reached_ = reached;
@@ -125,14 +130,16 @@
 
 awaitable<void> store_watch::FetchConfigOnce() {
   const asio::any_io_executor on = here_->context.get_executor();
+  bool reached = false;
   try {
     const keyed_page page =
         co_await other_client_.Newest(kConfigTopic, kCallTimeout);
+    reached = true;
     TakeConfig(page);
   } catch (const platform_error& away) {
     here_->log.Write("config_fetch_failed", {{"error", away.what()}});
   }
-  co_await Sleep(on, kFirstRetry);
+  co_await Sleep(on, reached ? kFirstRetry : kRetry);
   fetching_ = false;
 }
 
@@ -181,8 +188,9 @@
   keyed_page page;
   bool whole = false;
   if (instances_next_) {
+    const millis wait = instances_.Unsettled() ? kSettleWait : kInstanceWait;
     page = co_await instance_client_.Read(kInstanceTopic, *instances_next_,
-                                          millis(0), kCallTimeout);
+                                          wait, wait + kCallTimeout);
   }
   if (!instances_next_ || page.forgotten) {
     instances_next_.reset();
@@ -191,9 +199,20 @@
   }
   instances_next_ = page.next;
   TakeInstances(page, whole);
+  instances_.NoteStoreRead();
   here_->instances_known = true;
 }
 
+millis store_watch::PauseAfter(bool reached) const {
+  if (!here_->instances_known) {
+    return kFirstRetry;
+  }
+  if (instances_.Unsettled()) {
+    return kSettleWait;
+  }
+  return reached ? kInstancePause : kRetry;
+}
+
 awaitable<void> store_watch::FollowInstances() {
   const asio::any_io_executor on = here_->context.get_executor();
   for (;;) {
@@ -205,8 +224,7 @@
     }
     NoteStore(failed.empty(), "instances", failed);
     PublishInstances();
-    const bool first = !here_->instances_known;
-    co_await Sleep(on, first ? kFirstRetry : kInstanceInterval);
+    co_await Sleep(on, PauseAfter(failed.empty()));
   }
 }
 
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -34,6 +34,7 @@
   void TakeConfig(const keyed_page& page);
   void TakeInstances(const keyed_page& page, bool whole);
   void PublishInstances();
+  [[nodiscard]] millis PauseAfter(bool reached) const;
   void NoteStore(bool reached, const std::string& call,
                  const std::string& detail);
 
