--- /dev/null
+++ b/tests/balance/load_report_test.cc
@@ -0,0 +1,49 @@
+#include "balance/load_report.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/error.h"
+
+namespace peridotarch {
+namespace {
+
+constexpr std::string_view kKey = "a key of the fleet";
+
+load_report Sample() {
+  load_report report;
+  report.incarnation = 1'700'000'000'000;
+  report.number = 77;
+  report.config_version = 12;
+  report.leaving = true;
+  report.load = {{KeyOf("one"), 3}, {KeyOf("two"), 255}};
+  report.usage = {{KeyOf("s"), 900, 12}};
+  report.outcomes = {
+      {5, KeyOf("one"), attempt_outcome::kBroken, millis(60'000)},
+      {6, KeyOf("two"), attempt_outcome::kOk, millis(0)}};
+  return report;
+}
+
+TEST_CASE("a report survives its datagram") {
+  CHECK(DecodeLoadReport(Encode(Sample(), kKey), kKey) == Sample());
+  CHECK(DecodeLoadReport(Encode({}, kKey), kKey) == load_report{});
+}
+
+TEST_CASE("a report of a few entries is small") {
+  CHECK(Encode(Sample(), kKey).size() < 100);
+}
+
+TEST_CASE("damaged, cut and foreign reports are refused") {
+  const std::string good = Encode(Sample(), kKey);
+  CHECK_THROWS_AS(DecodeLoadReport(good, "another key"), codec_error);
+  for (size_t size = 0; size < good.size(); ++size) {
+    CHECK_THROWS_AS(DecodeLoadReport(good.substr(0, size), kKey), codec_error);
+  }
+  for (size_t at = 0; at < good.size(); ++at) {
+    std::string bad = good;
+    bad[at] = static_cast<char>(bad[at] ^ 0x40);
+    CHECK_THROWS_AS(DecodeLoadReport(bad, kKey), codec_error);
+  }
+}
+
+}  // namespace
+}  // namespace peridotarch
--- /dev/null
+++ b/tests/balance/retry_pool_test.cc
@@ -0,0 +1,87 @@
+#include "balance/retry_pool.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace peridotarch {
+namespace {
+
+constexpr int kNodes = 36;
+const retry_bound kBound{0.2, 58, millis(10'000)};
+
+void TellAll(std::vector<retry_pool>& nodes, size_t from, millis now) {
+  const auto usage = nodes[from].Usage(now);
+  for (size_t to = 0; to < nodes.size(); ++to) {
+    if (to != from) {
+      nodes[to].Apply(std::to_string(from), usage, now);
+    }
+  }
+}
+
+// Every node repeats as often as it may while callers storm.
+int Storm(std::vector<retry_pool>& nodes, int requests, bool hear) {
+  int taken = 0;
+  millis now(1'000'000);
+  for (int i = 0; i < requests; ++i) {
+    const auto node = static_cast<size_t>(i) % nodes.size();
+    nodes[node].NoteRequest("payout", now);
+    for (int repeat = 0; repeat < 3; ++repeat) {
+      taken += nodes[node].TakeRetry("payout", now) ? 1 : 0;
+    }
+    if (hear) {
+      TellAll(nodes, node, now);
+    }
+    now += millis(5);
+  }
+  return taken;
+}
+
+TEST_CASE("retry storm: the nodes' retries together stay within the bound") {
+  std::vector<retry_pool> nodes(kNodes, retry_pool(kBound));
+  constexpr int kRequests = 1'000;
+  const int taken = Storm(nodes, kRequests, true);
+  CHECK(taken <= kBound.ratio * kRequests + kBound.slack);
+  CHECK(taken >= (kBound.ratio * kRequests + kBound.slack) / 2);
+}
+
+TEST_CASE("retry storm while the nodes are cut off from each other") {
+  std::vector<retry_pool> nodes(kNodes, retry_pool(kBound));
+  const millis before(998'000);
+  for (size_t node = 0; node < nodes.size(); ++node) {
+    TellAll(nodes, node, before - millis(5'000));
+  }
+  constexpr int kRequests = 1'000;
+  CHECK(Storm(nodes, kRequests, false) <=
+        kBound.ratio * kRequests + kBound.slack);
+}
+
+TEST_CASE("a few failures at one node use the fleet's slack") {
+  std::vector<retry_pool> nodes(kNodes, retry_pool(kBound));
+  const millis now(1'000'000);
+  for (size_t node = 0; node < nodes.size(); ++node) {
+    TellAll(nodes, node, now);
+  }
+  int taken = 0;
+  for (int i = 0; i < 20; ++i) {
+    nodes[0].NoteRequest("payout", now);
+    taken += nodes[0].TakeRetry("payout", now) ? 1 : 0;
+  }
+  CHECK(taken == 20);
+}
+
+TEST_CASE("what was taken comes back after the window") {
+  retry_pool pool({0, 4, millis(10'000)});
+  millis now(1'000'000);
+  int taken = 0;
+  for (int i = 0; i < 10; ++i) {
+    taken += pool.TakeRetry("s", now) ? 1 : 0;
+  }
+  CHECK(taken == 3);
+  CHECK_FALSE(pool.TakeRetry("s", now + millis(9'000)));
+  CHECK(pool.TakeRetry("s", now + millis(10'001)));
+  CHECK(pool.TakeRetry("other", now));
+}
+
+}  // namespace
+}  // namespace peridotarch
--- /dev/null
+++ b/tests/platform/boot_settings_test.cc
@@ -0,0 +1,68 @@
+#include "platform/boot_settings.h"
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+
+#include "core/error.h"
+
+namespace peridotarch {
+namespace {
+
+class settings_file {
+ public:
+  explicit settings_file(const std::string& text)
+      : path_("boot_settings_test." + std::to_string(::getpid())) {
+    std::ofstream(path_) << text;
+  }
+  ~settings_file() { std::remove(path_.c_str()); }
+  [[nodiscard]] const std::string& path() const { return path_; }
+
+ private:
+  const std::string path_;
+};
+
+const std::string kGood =
+    "# comment\nnode=edge-1\nzone=a\ncallers=10.0.0.1:80\nready=10.0.0.1:81\n"
+    "store=10.0.0.2:82\ninner-ports=7660,7675\nmetrics-port=9464\n"
+    "fleet-key=k\n"
+    "bounds=drain_s=2,grace_s=6,retry_budget_ratio=0.2,"
+    "retry_budget_slack=58,retry_window_s=10,new_one=true\nnew-line=x\n";
+
+std::string ErrorOf(const std::string& text) {
+  const settings_file file(text);
+  try {
+    ReadBootSettings(file.path());
+  } catch (const settings_error& bad) {
+    return bad.what();
+  }
+  return "";
+}
+
+TEST_CASE("settings of the platform are read, unknown ones are ignored") {
+  const settings_file file(kGood);
+  const node_settings settings = ReadBootSettings(file.path());
+  CHECK(settings.node == "edge-1");
+  CHECK(settings.callers == host_port{"10.0.0.1", 80});
+  CHECK(settings.peer_port == 7660);
+  CHECK(settings.grace == millis(6'000));
+  CHECK(settings.retries.slack == 58);
+  CHECK(settings.retries.ratio == 0.2);
+}
+
+TEST_CASE("a bad setting is named with what is allowed") {
+  std::string bad = kGood;
+  bad.replace(bad.find("10.0.0.1:80"), 11, "10.0.0.1:xx");
+  CHECK(ErrorOf(bad) ==
+        "setting callers: \"10.0.0.1:xx\" is not allowed; allowed: IP:PORT");
+  bad = kGood;
+  bad.replace(bad.find("grace_s=6"), 9, "grace_s=-");
+  CHECK(ErrorOf(bad).find("setting grace_s") == 0);
+  CHECK(ErrorOf("node=x\n").find("setting zone") == 0);
+  CHECK_THROWS_AS(ReadBootSettings("missing-file"), settings_error);
+}
+
+}  // namespace
+}  // namespace peridotarch
