Fewer bytes between zones; records of the store from peers; loopback tests of the path

Ruled out: answers that cross zones as the main part (210 requests a second of 5 KB, a third of them across, are 0.3 of 1.9 MB/s). Change: the own zone hears of every start, others within 250 ms and of sick instances at once; a report is half as long; scarce retries go to urgent requests first; each node serves the records that it has read on its control address, and nodes that cannot read the store, or start while it is away, read there.

--- a/balance/instance_board.cc
+++ b/balance/instance_board.cc
@@ -30,7 +30,7 @@
 // An address that another instance has taken stays taken; the entry goes soon.
 constexpr millis kMovedHold(5'000);
 constexpr size_t kMaxRecent = 8;
-constexpr millis kRepeatOutcomes(600);  // bridges a few lost reports
+constexpr millis kRepeatOutcomes(500);  // two reports to other zones
 constexpr int kMaxReported = 255;
 
 }  // namespace
--- a/balance/instance_board.h
+++ b/balance/instance_board.h
@@ -116,7 +116,7 @@
     instance_health health;
   };
   struct peer_state {
-    uint64_t incarnation = 0;
+    uint32_t incarnation = 0;
     uint32_t number = 0;
     uint32_t outcome = 0;  ///< Number of the last outcome taken.
     millis heard;
--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -13,6 +13,8 @@
 constexpr size_t kTagBytes = 4;
 constexpr int64_t kMaxLatencyMs = 60'000;
 constexpr int kByteBits = 8;
+constexpr uint8_t kLeavingFlag = 1;
+constexpr uint8_t kReadsFlag = 2;
 
 // Big-endian numbers of a fixed width keep a report of a few entries below
 // a hundred bytes; every byte crosses zones thousands of times a second.
@@ -60,12 +62,18 @@
   return static_cast<instance_key>(Hash64(instance_id));
 }
 
+uint16_t ZoneKeyOf(std::string_view zone) {
+  return static_cast<uint16_t>(Hash64(zone));
+}
+
 std::string Encode(const load_report& report, std::string_view fleet_key) {
   std::string body;
   Put(body, report.incarnation);
   Put(body, report.number);
   Put(body, report.config_version);
-  Put(body, static_cast<uint8_t>(report.leaving));
+  Put(body, report.zone);
+  Put(body, static_cast<uint8_t>((report.leaving ? kLeavingFlag : 0) |
+                                 (report.reads_store ? kReadsFlag : 0)));
   Put(body, static_cast<uint8_t>(report.load.size()));
   for (const load_entry& entry : report.load) {
     Put(body, entry.instance);
@@ -77,8 +85,10 @@
     Put(body, entry.requests);
     Put(body, entry.retries);
   }
+  if (!report.outcomes.empty()) {
+    Put(body, report.outcomes.front().number);
+  }
   for (const outcome_entry& entry : report.outcomes) {
-    Put(body, entry.number);
     Put(body, entry.instance);
     Put(body, static_cast<uint8_t>(entry.outcome));
     Put(body, static_cast<uint16_t>(std::clamp<int64_t>(entry.latency.count(),
@@ -100,10 +110,13 @@
   }
   field_reader fields(body);
   load_report report;
-  report.incarnation = fields.Take<uint64_t>();
+  report.incarnation = fields.Take<uint32_t>();
   report.number = fields.Take<uint32_t>();
-  report.config_version = fields.Take<uint64_t>();
-  report.leaving = fields.Take<uint8_t>() != 0;
+  report.config_version = fields.Take<uint32_t>();
+  report.zone = fields.Take<uint16_t>();
+  const auto flags = fields.Take<uint8_t>();
+  report.leaving = (flags & kLeavingFlag) != 0;
+  report.reads_store = (flags & kReadsFlag) != 0;
   report.load.resize(fields.Take<uint8_t>());
   for (load_entry& entry : report.load) {
     entry.instance = fields.Take<uint32_t>();
@@ -115,9 +128,10 @@
     entry.requests = fields.Take<uint16_t>();
     entry.retries = fields.Take<uint16_t>();
   }
+  uint32_t number = fields.empty() ? 0 : fields.Take<uint32_t>();
   while (!fields.empty()) {
     outcome_entry entry;
-    entry.number = fields.Take<uint32_t>();
+    entry.number = number++;
     entry.instance = fields.Take<uint32_t>();
     const auto outcome = fields.Take<uint8_t>();
     if (outcome >= names_of<attempt_outcome>::kTable.size()) {
--- a/balance/load_report.h
+++ b/balance/load_report.h
@@ -17,6 +17,9 @@
 /// Returns the key of an instance id.
 instance_key KeyOf(std::string_view instance_id);
 
+/// Returns the key of an availability zone.
+uint16_t ZoneKeyOf(std::string_view zone);
+
 /// The requests that one node has in flight at an instance.
 struct load_entry {
   instance_key instance = 0;
@@ -48,13 +51,15 @@
 /// What a node tells its peers: its whole load and its latest outcomes. Each
 /// report repeats outcomes of the ones before it, so a lost one does no harm.
 struct load_report {
-  uint64_t incarnation = 0;  ///< Of the sending process; later is higher.
+  uint32_t incarnation = 0;  ///< Of the sending process; later is higher.
   uint32_t number = 0;       ///< Rises with each report of the process.
-  uint64_t config_version = 0;
-  bool leaving = false;  ///< The process is shutting down.
+  uint32_t config_version = 0;
+  uint16_t zone = 0;         ///< Key of the sender's availability zone.
+  bool leaving = false;      ///< The process is shutting down.
+  bool reads_store = false;  ///< Its last read of the store succeeded.
   std::vector<load_entry> load;
   std::vector<retry_usage> usage;
-  std::vector<outcome_entry> outcomes;
+  std::vector<outcome_entry> outcomes;  ///< Numbered without a gap.
 
   bool operator==(const load_report&) const = default;
 };
--- a/balance/node_settings.h
+++ b/balance/node_settings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "balance/retry_pool.h"
 #include "core/host_port.h"
@@ -12,13 +13,16 @@
 
 /// What a node that serves callers on the platform learns at its start.
 struct node_settings {
-  std::string node;        ///< Name of this machine, unique in the fleet.
-  std::string zone;        ///< Availability zone.
-  host_port callers;       ///< Callers' HTTP.
-  host_port ready;         ///< The balancer asks here whether it is ready.
-  host_port store;         ///< The platform's metadata store.
-  uint16_t peer_port = 0;  ///< The fleet's load reports, UDP.
-  std::string fleet_key;   ///< Keeps out other fleets' reports.
+  std::string node;   ///< Name of this machine, unique in the fleet.
+  std::string zone;   ///< Availability zone.
+  host_port callers;  ///< Callers' HTTP.
+  host_port ready;    ///< The balancer asks here whether it is ready.
+  host_port store;    ///< The platform's metadata store.
+  host_port control;  ///< Other nodes read the store's records here.
+  std::vector<host_port> seeds;  ///< Control addresses of some nodes, which
+                                 ///< may be gone.
+  uint16_t peer_port = 0;        ///< The fleet's load reports, UDP.
+  std::string fleet_key;         ///< Keeps out other fleets' reports.
   uint16_t metrics_port = 0;
   millis grace;         ///< From SIGTERM until the process is killed.
   millis drain;         ///< A leaving instance gets no new work after it.
--- a/balance/retry_pool.cc
+++ b/balance/retry_pool.cc
@@ -6,9 +6,12 @@
 
 namespace {
 
-// Reports are up to a second old, and what a process took before it ended is
-// forgotten with it.
-constexpr double kUsableShare = 0.75;
+// Usage is told with every failure; what two nodes take at the same moment and
+// what a process took before it ended is not known.
+constexpr double kUsableShare = 0.92;
+// Kept for more urgent requests, for each step of priority from the second.
+constexpr double kPriorityShare = 0.25;
+constexpr int kMaxSteps = 2;
 constexpr millis kFresh(2'500);
 // A peer that has been silent for this long no longer has a claim.
 constexpr millis kForgotten(30'000);
@@ -38,7 +41,7 @@
 
 // A node that hears only some of its peers uses only their part of the slack:
 // the others may be using theirs.
-bool retry_pool::TakeRetry(std::string_view service, millis now) {
+bool retry_pool::TakeRetry(std::string_view service, int priority, millis now) {
   const uint32_t key = KeyOf(service);
   own_usage& own = Own(key, now);
   auto requests = static_cast<double>(own.requests.size());
@@ -59,7 +62,9 @@
     }
   }
   const double slack = bound_.slack * heard / known;
-  if (retries + 1 > kUsableShare * (bound_.ratio * requests + slack)) {
+  const int steps = std::clamp(priority - 1, 0, kMaxSteps);
+  const double share = kUsableShare - kPriorityShare * steps;
+  if (retries + 1 > share * (bound_.ratio * requests + slack)) {
     return false;
   }
   own.retries.push_back(now);
--- a/balance/retry_pool.h
+++ b/balance/retry_pool.h
@@ -32,8 +32,9 @@
   void SetBound(retry_bound bound) { bound_ = bound; }
   /// Counts a caller's request for the service.
   void NoteRequest(std::string_view service, millis now);
-  /// Takes one retry; false when the fleet's budget is used up.
-  bool TakeRetry(std::string_view service, millis now);
+  /// Takes one retry; false when the fleet's budget is used up. The less
+  /// urgent a request (0 is the most urgent), the sooner.
+  bool TakeRetry(std::string_view service, int priority, millis now);
 
   /// Takes a peer's usage into account.
   void Apply(const std::string& peer, std::span<const retry_usage> usage,
--- a/front/caller_call.cc
+++ b/front/caller_call.cc
@@ -129,13 +129,13 @@
   const auto handle = std::make_shared<exchange_handle>();
   call_.exchange = handle;
   here_.board.Begin(key);
-  here_.load_changed(true);
+  here_.load_changed(load_change::kTaken);
   asio::steady_timer slow(here_.context, ToChrono(attempt.choice.slow_after));
   slow.async_wait([this, key](const boost::system::error_code& failure) {
     if (!failure) {
       here_.board.NoteEarly(key, attempt_outcome::kSlow, boot_clock::Now());
       here_.LogHealthChanges();
-      here_.load_changed(true);
+      here_.load_changed(load_change::kFailed);
     }
   });
   attempt.result = co_await here_.pool.Exchange(std::move(order), *handle);
@@ -149,7 +149,9 @@
   const attempt_outcome outcome = attempt.ruling.outcome;
   here_.board.End(key, outcome, attempt.latency, boot_clock::Now());
   here_.LogHealthChanges();
-  here_.load_changed(outcome != attempt_outcome::kOk);
+  const bool well =
+      outcome == attempt_outcome::kOk || outcome == attempt_outcome::kUnknown;
+  here_.load_changed(well ? load_change::kFreed : load_change::kFailed);
 }
 
 void call_run::Judge(attempt_record& attempt) {
@@ -178,7 +180,7 @@
   }
   // What never left this node is no repeat for the service.
   return attempt.result.end.written == written_part::kNothing ||
-         here_.retries.TakeRetry(service_, now);
+         here_.retries.TakeRetry(service_, route_->priority, now);
 }
 
 reason call_run::WhyFailed(const attempt_record& attempt) const {
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -83,6 +83,9 @@
     answer.prepare_payload();
     return answer;
   }
+  if (store_mirror::IsAsked(request.target())) {
+    return here.mirror.Answer(request.target());
+  }
   http_response answer(
       here.Ready() ? http::status::ok : http::status::service_unavailable,
       kHttp11);
@@ -91,7 +94,8 @@
   return answer;
 }
 
-// Serves the balancer's checks and the scraping of metrics.
+// Serves the balancer's checks, the scraping of metrics and the nodes that
+// cannot reach the store.
 awaitable<void> ServeProbe(std::shared_ptr<front_node> here,
                            boost::beast::tcp_stream stream) {
   http_session session(std::move(stream));
@@ -184,6 +188,7 @@
   tcp::acceptor ready = Listen(context, settings.ready);
   tcp::acceptor metrics =
       Listen(context, {settings.callers.host, settings.metrics_port});
+  tcp::acceptor control = Listen(context, settings.control);
   const auto peers = std::make_shared<peer_link>(here);
   const auto watch = std::make_shared<store_watch>(here);
   asio::signal_set stop(context, SIGTERM, SIGINT);
@@ -203,6 +208,7 @@
   };
   asio::co_spawn(context, Accept(ready, probe), asio::detached);
   asio::co_spawn(context, Accept(metrics, probe), asio::detached);
+  asio::co_spawn(context, Accept(control, probe), asio::detached);
   asio::co_spawn(context, Accept(callers, caller), asio::detached);
   context.run();
 }
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -9,13 +9,20 @@
 
 constexpr int64_t kMicrosPerMilli = 1000;
 
+// In units of 16 ms the number wraps after two years; no process starts twice
+// within one.
+uint32_t IncarnationAt(millis wall) {
+  constexpr int kShift = 4;
+  return static_cast<uint32_t>(wall.count() >> kShift);
+}
+
 }  // namespace
 
 front_node::front_node(boost::asio::io_context& io, node_settings given,
                        uint64_t seed)
     : context(io),
       settings(std::move(given)),
-      incarnation(static_cast<uint64_t>(wall_clock::Now().count())),
+      incarnation(IncarnationAt(wall_clock::Now())),
       routes(nullptr),
       board(settings.zone, seed),
       pool(io),
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -15,12 +16,20 @@
 #include "core/rcu_cell.h"
 #include "front/decision_log.h"
 #include "front/instance_pool.h"
+#include "platform/store_mirror.h"
 #include "request/reason.h"
 
 namespace peridotarch {
 
 class caller_session;
 
+/// A change of this node's load that its peers should know.
+enum class load_change {
+  kTaken,   ///< An attempt began.
+  kFreed,   ///< An attempt ended well.
+  kFailed,  ///< An attempt says that its instance may be sick.
+};
+
 /// What the parts of one node share. All of them run on one thread.
 struct front_node {
   front_node(boost::asio::io_context& io, node_settings given, uint64_t seed);
@@ -36,10 +45,15 @@
   metrics counters;
   retry_pool retries;
   std::set<caller_session*> sessions;  ///< Open caller connections.
-  /// Tells the peers of a change of load; `at_once` for starts and failures.
-  std::function<void(bool at_once)> load_changed = [](bool) {};
-  int nodes = 1;      ///< Of the fleet that have been heard lately.
-  int in_flight = 0;  ///< Callers' requests.
+  std::function<void(load_change)> load_changed = [](load_change) {};
+  /// Returns the address of a peer that reads the store, if one is known.
+  std::function<std::optional<std::string>()> reading_peer = [] {
+    return std::optional<std::string>();
+  };
+  store_mirror mirror;       ///< What this node has read of the store.
+  bool reads_store = false;  ///< The last read of the store succeeded.
+  int nodes = 1;             ///< Of the fleet that have been heard lately.
+  int in_flight = 0;         ///< Callers' requests.
   bool instances_known = false;
   bool draining = false;
 
--- a/front/peer_link.cc
+++ b/front/peer_link.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 #include "core/error.h"
 #include "proxy/executor.h"
@@ -26,7 +27,8 @@
 constexpr millis kAlive(3'000);  // three beats
 // A success may wait for the next report: it only frees a slot that the peers
 // count as taken for that much longer.
-constexpr millis kGather(50);
+constexpr millis kNearDelay(50);
+constexpr millis kFarDelay(250);  // a typical request's time
 
 }  // namespace
 
@@ -36,15 +38,22 @@
           here_->context,
           udp::endpoint(asio::ip::make_address(here_->settings.callers.host),
                         here_->settings.peer_port)),
-      delay_(here_->context) {
+      near_{asio::steady_timer(here_->context)},
+      far_{asio::steady_timer(here_->context)},
+      zone_(ZoneKeyOf(here_->settings.zone)) {
   socket_.non_blocking(true);
 }
 
 void peer_link::Start(std::function<void()> on_newer_config) {
   on_newer_config_ = std::move(on_newer_config);
-  here_->load_changed = [this](bool at_once) { Changed(at_once); };
-  asio::co_spawn(here_->context, Receive(), asio::detached);
-  asio::co_spawn(here_->context, Beat(), asio::detached);
+  here_->load_changed = [this](load_change change) { Changed(change); };
+  here_->reading_peer = [this] { return ReadingPeer(); };
+  // The coroutines keep this object alive until the loop has ended.
+  const auto self = shared_from_this();
+  asio::co_spawn(
+      here_->context, [self]() { return self->Receive(); }, asio::detached);
+  asio::co_spawn(
+      here_->context, [self]() { return self->Beat(); }, asio::detached);
 }
 
 void peer_link::AddPeer(const host_port& address) {
@@ -54,46 +63,77 @@
   if (failure || at == socket_.local_endpoint()) {
     return;
   }
-  peers_.try_emplace(at, peer{at, millis(0), false});
+  peers_.try_emplace(at);
 }
 
-void peer_link::SayLeaving() { Send(true); }
-
-void peer_link::Changed(bool at_once) {
-  if (at_once) {
-    delay_.cancel();
-    delayed_ = false;
-    Send(false);
-    return;
+void peer_link::SayLeaving() { Send(scope::kAll); }
+
+// Work stays in its zone while loads are equal, so the own zone hears of every
+// start; bytes to other zones are paid for, and these hear at once only of
+// sick instances.
+void peer_link::Changed(load_change change) {
+  switch (change) {
+    case load_change::kFailed:
+      Send(scope::kLive);
+      return;
+    case load_change::kTaken:
+      Send(scope::kZone);
+      SendSoon(far_, scope::kOtherZones, kFarDelay);
+      return;
+    case load_change::kFreed:
+      SendSoon(near_, scope::kZone, kNearDelay);
+      SendSoon(far_, scope::kOtherZones, kFarDelay);
+      return;
   }
-  if (delayed_) {
+}
+
+void peer_link::SendSoon(delayed_report& report, scope to, millis delay) {
+  if (report.armed) {
     return;
   }
-  delayed_ = true;
-  delay_.expires_after(ToChrono(kGather));
-  delay_.async_wait([this](const error_code& failure) {
+  report.armed = true;
+  report.timer.expires_after(ToChrono(delay));
+  report.timer.async_wait([this, &report, to](const error_code& failure) {
+    report.armed = false;
     if (!failure) {
-      delayed_ = false;
-      Send(false);
+      Send(to);
     }
   });
 }
 
 // Nodes that are silent get the beats only: they may be gone for good.
-void peer_link::Send(bool to_all) {
+bool peer_link::Includes(scope to, const peer& known, millis now) const {
+  const bool live = now - known.heard < kAlive;
+  switch (to) {
+    case scope::kZone:
+      return live && known.zone == zone_;
+    case scope::kOtherZones:
+      return live && known.zone != zone_;
+    case scope::kLive:
+      return live;
+    case scope::kAll:
+      return true;
+  }
+  return true;
+}
+
+void peer_link::Send(scope to) {
   const millis now = boot_clock::Now();
-  sent_at_ = now;
   load_report report = here_->board.MakeReport(now);
   report.incarnation = here_->incarnation;
   report.number = ++number_;
+  report.zone = zone_;
   report.leaving = here_->draining;
-  report.usage = here_->retries.Usage(now);
+  report.reads_store = here_->reads_store;
+  if (to == scope::kAll || to == scope::kLive) {
+    report.usage = here_->retries.Usage(now);
+  }
   if (const auto routes = here_->routes.Load()) {
-    report.config_version = routes->config().version;
+    report.config_version = static_cast<uint32_t>(routes->config().version);
   }
   const std::string datagram = Encode(report, here_->settings.fleet_key);
   for (const auto& [at, known] : peers_) {
-    if (to_all || now - known.heard < kAlive) {
+    if (Includes(to, known, now)) {
       error_code lost;
       // A report that cannot be sent now is repeated by the next one.
       socket_.send_to(asio::buffer(datagram), at, 0, lost);
@@ -104,7 +144,7 @@
 awaitable<void> peer_link::Beat() {
   const auto on = socket_.get_executor();
   for (;;) {
-    Send(true);
+    Send(scope::kAll);
     co_await Sleep(on, kBeat);
     const millis now = boot_clock::Now();
     here_->board.ForgetSilent(now);
@@ -126,6 +166,27 @@
   }
 }
 
+// One of the own zone where there is one; at random, so that one peer does not
+// serve all.
+std::optional<std::string> peer_link::ReadingPeer() const {
+  const millis now = boot_clock::Now();
+  std::vector<const udp::endpoint*> near;
+  std::vector<const udp::endpoint*> all;
+  for (const auto& [at, known] : peers_) {
+    if (now - known.heard < kAlive && known.reads_store && !known.leaving) {
+      all.push_back(&at);
+      if (known.zone == zone_) {
+        near.push_back(&at);
+      }
+    }
+  }
+  const auto& from = near.empty() ? all : near;
+  if (from.empty()) {
+    return std::nullopt;
+  }
+  return from[here_->random.Below(from.size())]->address().to_string();
+}
+
 awaitable<void> peer_link::Receive() {
   std::array<char, kMaxDatagram> datagram;
   for (;;) {
@@ -145,12 +206,15 @@
     const load_report report =
         DecodeLoadReport(datagram, here_->settings.fleet_key);
     const millis now = boot_clock::Now();
-    peer& known =
-        peers_.try_emplace(from, peer{from, millis(0), false}).first->second;
+    peer& known = peers_[from];
     known.heard = now;
+    known.zone = report.zone;
     known.leaving = report.leaving;
+    known.reads_store = report.reads_store;
     here_->board.Apply(from.address().to_string(), report, now);
-    here_->retries.Apply(from.address().to_string(), report.usage, now);
+    if (!report.usage.empty()) {
+      here_->retries.Apply(from.address().to_string(), report.usage, now);
+    }
     here_->LogHealthChanges();
     const auto routes = here_->routes.Load();
     if (report.config_version > (routes ? routes->config().version : 0)) {
--- a/front/peer_link.h
+++ b/front/peer_link.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "front/front_node.h"
 #include "platform/awaitable.h"
@@ -13,7 +15,7 @@
 namespace peridotarch {
 
 /// Exchanges load reports with the other nodes over UDP.
-class peer_link {
+class peer_link : public std::enable_shared_from_this<peer_link> {
  public:
   explicit peer_link(std::shared_ptr<front_node> here);
 
@@ -26,25 +28,41 @@
   void SayLeaving();
 
  private:
+  /// Who gets a report.
+  enum class scope {
+    kZone,        ///< Live nodes of the own availability zone.
+    kOtherZones,  ///< Live nodes of the others.
+    kLive,        ///< All live nodes.
+    kAll,         ///< Silent ones as well.
+  };
   struct peer {
-    boost::asio::ip::udp::endpoint at;
-    millis heard;
+    millis heard = millis(-1'000'000);
+    uint16_t zone = 0;
     bool leaving = false;
+    bool reads_store = false;
+  };
+  /// A report that is due after a delay.
+  struct delayed_report {
+    boost::asio::steady_timer timer;
+    bool armed = false;
   };
 
   awaitable<void> Receive();
   awaitable<void> Beat();
-  void Changed(bool at_once);
-  void Send(bool to_all);
+  void Changed(load_change change);
+  void SendSoon(delayed_report& report, scope to, millis delay);
+  void Send(scope to);
+  [[nodiscard]] bool Includes(scope to, const peer& known, millis now) const;
   void Take(const boost::asio::ip::udp::endpoint& from,
             std::string_view datagram);
   void CountNodes(millis now);
+  [[nodiscard]] std::optional<std::string> ReadingPeer() const;
 
   const std::shared_ptr<front_node> here_;
   boost::asio::ip::udp::socket socket_;
-  boost::asio::steady_timer delay_;
-  bool delayed_ = false;
-  millis sent_at_;
+  delayed_report near_;
+  delayed_report far_;
+  const uint16_t zone_;
   uint32_t number_ = 0;
   std::map<boost::asio::ip::udp::endpoint, peer> peers_;
   std::function<void()> on_newer_config_;
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -41,11 +41,19 @@
       instance_client_(here_->context.get_executor(), StoreOf(*here_)),
       other_client_(here_->context.get_executor(), StoreOf(*here_)) {}
 
+// The coroutine keeps this object alive until the loop has ended.
+void store_watch::Spawn(awaitable<void> (store_watch::*run)()) {
+  asio::co_spawn(
+      here_->context,
+      [self = shared_from_this(), run]() { return (self.get()->*run)(); },
+      asio::detached);
+}
+
 void store_watch::Start(std::function<void(const host_port&)> on_peer) {
   on_peer_ = std::move(on_peer);
-  asio::co_spawn(here_->context, FollowConfig(), asio::detached);
-  asio::co_spawn(here_->context, FollowInstances(), asio::detached);
-  asio::co_spawn(here_->context, Announce(), asio::detached);
+  Spawn(&store_watch::FollowConfig);
+  Spawn(&store_watch::FollowInstances);
+  Spawn(&store_watch::Announce);
 }
 
 void store_watch::NoteStore(bool reached, const std::string& call,
@@ -57,6 +65,7 @@
   if (!reached) {
     instances_.NoteStoreAway();
   }
+  here_->reads_store = reached;
   if (reached != reached_) {
     reached_ = reached;
     here_->log.Write(reached ? "store_reached" : "store_lost",
@@ -84,7 +93,7 @@
       here_->log.Write(
           "config_in_force",
           {{"version", version}, {"before", old}, {"routes", routes}});
-      here_->load_changed(true);
+      here_->load_changed(load_change::kFailed);
     } catch (const codec_error& bad) {
       here_->log.Write("config_refused", {{"error", bad.what()}});
     }
@@ -101,10 +110,53 @@
     config_next_.reset();
     page = co_await config_client_.Newest(kConfigTopic, kCallTimeout);
   }
+  const bool whole = !config_next_;
   config_next_ = page.next;
+  here_->mirror.Take(kConfigTopic, page, whole);
   TakeConfig(page);
 }
 
+// A peer that reads the store, or a seed as long as none has been heard.
+std::optional<endpoint> store_watch::MirrorAddress() {
+  if (const auto peer = here_->reading_peer()) {
+    return endpoint{*peer, here_->settings.control.port};
+  }
+  const auto& seeds = here_->settings.seeds;
+  if (here_->nodes > 1 || seeds.empty()) {
+    return std::nullopt;
+  }
+  const host_port& seed = seeds[next_seed_++ % seeds.size()];
+  return endpoint{seed.host, seed.port};
+}
+
+// The store may turn this node away and serve others: what they have read is
+// newer than what this node knows.
+awaitable<void> store_watch::ReadFromPeer(std::string_view topic) {
+  const auto where = MirrorAddress();
+  if (!where || where->address == here_->settings.control.host) {
+    co_return;
+  }
+  const bool config = topic == kConfigTopic;
+  try {
+    store_client peer(here_->context.get_executor(), *where);
+    const keyed_page page = co_await peer.Newest(topic, kCallTimeout);
+    if (config) {
+      TakeConfig(page);
+    } else {
+      TakeInstances(page, true);
+      here_->instances_known = true;
+      PublishInstances();
+    }
+    here_->counters
+        .Counter("peer_reads_total", "Reads of the store's records at a peer.")
+        .Add();
+  } catch (const platform_error& away) {
+    here_->log.Write(
+        "peer_read_failed",
+        {{"peer", where->address}, {"topic", topic}, {"error", away.what()}});
+  }
+}
+
 awaitable<void> store_watch::FollowConfig() {
   const asio::any_io_executor on = here_->context.get_executor();
   for (;;) {
@@ -116,6 +168,7 @@
     }
     NoteStore(failed.empty(), "config", failed);
     if (!failed.empty()) {
+      co_await ReadFromPeer(kConfigTopic);
       co_await Sleep(on, here_->routes.Load() ? kRetry : kFirstRetry);
     }
   }
@@ -124,22 +177,14 @@
 void store_watch::FetchConfig() {
   if (!fetching_) {
     fetching_ = true;
-    asio::co_spawn(here_->context, FetchConfigOnce(), asio::detached);
+    Spawn(&store_watch::FetchConfigOnce);
   }
 }
 
 awaitable<void> store_watch::FetchConfigOnce() {
   const asio::any_io_executor on = here_->context.get_executor();
-  bool reached = false;
-  try {
-    const keyed_page page =
-        co_await other_client_.Newest(kConfigTopic, kCallTimeout);
-    reached = true;
-    TakeConfig(page);
-  } catch (const platform_error& away) {
-    here_->log.Write("config_fetch_failed", {{"error", away.what()}});
-  }
-  co_await Sleep(on, reached ? kFirstRetry : kRetry);
+  co_await ReadFromPeer(kConfigTopic);
+  co_await Sleep(on, kFirstRetry);
   fetching_ = false;
 }
 
@@ -198,6 +243,7 @@
     whole = true;
   }
   instances_next_ = page.next;
+  here_->mirror.Take(kInstanceTopic, page, whole);
   TakeInstances(page, whole);
   instances_.NoteStoreRead();
   here_->instances_known = true;
@@ -223,6 +269,9 @@
       failed = away.what();
     }
     NoteStore(failed.empty(), "instances", failed);
+    if (!failed.empty()) {
+      co_await ReadFromPeer(kInstanceTopic);
+    }
     PublishInstances();
     co_await Sleep(on, PauseAfter(failed.empty()));
   }
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "balance/instance_list.h"
 #include "front/front_node.h"
@@ -15,7 +16,7 @@
 
 /// Follows the platform's store: the configuration, the instances, and the
 /// other nodes of the fleet.
-class store_watch {
+class store_watch : public std::enable_shared_from_this<store_watch> {
  public:
   explicit store_watch(std::shared_ptr<front_node> here);
 
@@ -25,10 +26,13 @@
   void FetchConfig();
 
  private:
+  void Spawn(awaitable<void> (store_watch::*run)());
   awaitable<void> FollowConfig();
   awaitable<void> FollowInstances();
   awaitable<void> Announce();
   awaitable<void> FetchConfigOnce();
+  awaitable<void> ReadFromPeer(std::string_view topic);
+  [[nodiscard]] std::optional<endpoint> MirrorAddress();
   awaitable<void> ReadConfig();
   awaitable<void> ReadInstances();
   void TakeConfig(const keyed_page& page);
@@ -47,6 +51,7 @@
   instance_list instances_;
   bool fetching_ = false;
   bool reached_ = true;
+  size_t next_seed_ = 0;
   std::function<void(const host_port&)> on_peer_;
 };
 
--- a/tests/balance/load_report_test.cc
+++ b/tests/balance/load_report_test.cc
@@ -11,10 +11,11 @@
 
 load_report Sample() {
   load_report report;
-  report.incarnation = 1'700'000'000'000;
+  report.incarnation = 1'700'000'000;
   report.number = 77;
   report.config_version = 12;
   report.leaving = true;
+  report.reads_store = true;
   report.load = {{KeyOf("one"), 3}, {KeyOf("two"), 255}};
   report.usage = {{KeyOf("s"), 900, 12}};
   report.outcomes = {
@@ -29,7 +30,7 @@
 }
 
 TEST_CASE("a report of a few entries is small") {
-  CHECK(Encode(Sample(), kKey).size() < 100);
+  CHECK(Encode(Sample(), kKey).size() < 64);
 }
 
 TEST_CASE("damaged, cut and foreign reports are refused") {
--- a/tests/balance/retry_pool_test.cc
+++ b/tests/balance/retry_pool_test.cc
@@ -27,7 +27,7 @@
     const auto node = static_cast<size_t>(i) % nodes.size();
     nodes[node].NoteRequest("payout", now);
     for (int repeat = 0; repeat < 3; ++repeat) {
-      taken += nodes[node].TakeRetry("payout", now) ? 1 : 0;
+      taken += nodes[node].TakeRetry("payout", 0, now) ? 1 : 0;
     }
     if (hear) {
       TellAll(nodes, node, now);
@@ -65,7 +65,7 @@
   int taken = 0;
   for (int i = 0; i < 20; ++i) {
     nodes[0].NoteRequest("payout", now);
-    taken += nodes[0].TakeRetry("payout", now) ? 1 : 0;
+    taken += nodes[0].TakeRetry("payout", 0, now) ? 1 : 0;
   }
   CHECK(taken == 20);
 }
@@ -75,12 +75,24 @@
   millis now(1'000'000);
   int taken = 0;
   for (int i = 0; i < 10; ++i) {
-    taken += pool.TakeRetry("s", now) ? 1 : 0;
+    taken += pool.TakeRetry("s", 0, now) ? 1 : 0;
   }
   CHECK(taken == 3);
-  CHECK_FALSE(pool.TakeRetry("s", now + millis(9'000)));
-  CHECK(pool.TakeRetry("s", now + millis(10'001)));
-  CHECK(pool.TakeRetry("other", now));
+  CHECK_FALSE(pool.TakeRetry("s", 0, now + millis(9'000)));
+  CHECK(pool.TakeRetry("s", 0, now + millis(10'001)));
+  CHECK(pool.TakeRetry("other", 0, now));
+}
+
+TEST_CASE("scarce retries go to the urgent requests first") {
+  retry_pool pool({0, 100, millis(10'000)});
+  const millis now(1'000'000);
+  int least = 0;
+  while (pool.TakeRetry("s", 2, now)) {
+    ++least;
+  }
+  CHECK(least < 80);
+  CHECK(pool.TakeRetry("s", 1, now));
+  CHECK(pool.TakeRetry("s", 0, now));
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/front/front_world.h
@@ -0,0 +1,206 @@
+#ifndef TESTS_FRONT_FRONT_WORLD_H_
+#define TESTS_FRONT_FRONT_WORLD_H_
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "front/caller_session.h"
+#include "front/front_node.h"
+#include "platform/call_wire.h"
+#include "platform/http_client.h"
+#include "proxy/executor.h"
+#include "proxy/http_session.h"
+
+namespace peridotarch {
+
+/// A server on loopback that answers each request with the bytes that a
+/// function returns; no bytes: it closes the connection.
+class raw_server {
+ public:
+  using handler = std::function<std::string(const http_request&)>;
+
+  raw_server(boost::asio::io_context& context, handler answer)
+      : answer_(std::move(answer)),
+        acceptor_(context, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    boost::asio::co_spawn(context, Accept(), boost::asio::detached);
+  }
+
+  [[nodiscard]] uint16_t port() const {
+    return acceptor_.local_endpoint().port();
+  }
+  void Stop() { acceptor_.close(); }
+
+  int served = 0;
+
+ private:
+  awaitable<void> Accept() {
+    for (;;) {
+      boost::system::error_code failure;
+      auto socket = co_await acceptor_.async_accept(
+          boost::asio::redirect_error(boost::asio::use_awaitable, failure));
+      if (failure) {
+        co_return;
+      }
+      boost::asio::co_spawn(acceptor_.get_executor(),
+                            Serve(boost::beast::tcp_stream(std::move(socket))),
+                            boost::asio::detached);
+    }
+  }
+
+  awaitable<void> Serve(boost::beast::tcp_stream stream) {
+    http_session session(std::move(stream));
+    read_limits limits;
+    limits.idle = millis(5'000);
+    for (;;) {
+      const read_outcome read = co_await session.Read(limits);
+      if (!read.request) {
+        break;
+      }
+      ++served;
+      const std::string bytes = answer_(*read.request);
+      if (bytes.empty()) {
+        break;
+      }
+      boost::system::error_code failure;
+      co_await boost::asio::async_write(
+          session.stream(), boost::asio::buffer(bytes),
+          boost::asio::redirect_error(boost::asio::use_awaitable, failure));
+    }
+    session.Close();
+  }
+
+  const handler answer_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+};
+
+/// Returns an instance's answer as bytes.
+inline std::string InstanceAnswer(const std::string& id, int status,
+                                  const std::string& body,
+                                  const std::string& headers = "") {
+  return "HTTP/1.1 " + std::to_string(status) + " Word\r\nX-Request-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+         headers + "\r\n" + body;
+}
+
+inline std::string IdOf(const http_request& request) {
+  return std::string(request["X-Request-Id"]);
+}
+
+/// One node with callers and instances on loopback.
+class front_world {
+ public:
+  front_world() {
+    node_settings settings;
+    settings.node = "edge-1";
+    settings.zone = "a";
+    settings.retries = {0.2, 58, millis(10'000)};
+    node = std::make_shared<front_node>(context, settings, 1);
+    callers_ = std::make_unique<boost::asio::ip::tcp::acceptor>(
+        context, boost::asio::ip::tcp::endpoint(
+                     boost::asio::ip::make_address("127.0.0.1"), 0));
+    boost::asio::co_spawn(context, Accept(), boost::asio::detached);
+  }
+
+  /// Adds a route below `prefix` to service "s".
+  void AddRoute(const std::string& prefix, bool idempotent) {
+    host_route route;
+    route.name = prefix;
+    route.host = "box.example";
+    route.prefix = prefix;
+    route.idempotent = idempotent;
+    route.timeout = millis(1'000);
+    route.max_attempts = 2;
+    route.services = {{"s", 1}};
+    config_.version += 1;
+    config_.routes.push_back(route);
+    node->routes.Store(std::make_shared<const route_index>(config_));
+  }
+
+  /// Starts an instance of service "s".
+  raw_server& AddInstance(raw_server::handler answer) {
+    servers_.push_back(
+        std::make_unique<raw_server>(context, std::move(answer)));
+    instance_entry entry;
+    entry.id = "i-" + std::to_string(servers_.size());
+    entry.service = "s";
+    entry.address = "127.0.0.1";
+    entry.port = servers_.back()->port();
+    entry.zone = "a";
+    entry.slots = 3;
+    entries_.push_back(entry);
+    node->board.SetInstances(entries_, boot_clock::Now());
+    node->instances_known = true;
+    return *servers_.back();
+  }
+
+  /// Sends one request as a caller and returns the answer.
+  http_response Ask(boost::beast::http::verb method, const std::string& target,
+                    const std::string& id = "r1") {
+    http_request request(method, target, 11);
+    if (!id.empty()) {
+      request.set("X-Request-Id", id);
+    }
+    request.set("X-Deadline-Ms", "900");
+    http_response answer;
+    bool done = false;
+    boost::asio::co_spawn(context, AskNow(std::move(request), answer, done),
+                          boost::asio::detached);
+    RunUntil([&done] { return done; });
+    return answer;
+  }
+
+  /// Runs the loop until `done` or two seconds have passed.
+  void RunUntil(const std::function<bool()>& done) {
+    const millis end = boot_clock::Now() + millis(2'000);
+    while (!done() && boot_clock::Now() < end) {
+      context.run_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  boost::asio::io_context context;
+  std::shared_ptr<front_node> node;
+
+ private:
+  awaitable<void> Accept() {
+    for (;;) {
+      auto socket = co_await callers_->async_accept(boost::asio::use_awaitable);
+      boost::asio::co_spawn(
+          context,
+          ServeFrontCaller(node, boost::beast::tcp_stream(std::move(socket))),
+          boost::asio::detached);
+    }
+  }
+
+  awaitable<void> AskNow(http_request request, http_response& answer,
+                         bool& done) {
+    boost::beast::tcp_stream stream(context);
+    co_await stream.async_connect(callers_->local_endpoint(),
+                                  boost::asio::use_awaitable);
+    request.set(boost::beast::http::field::host, "box.example");
+    request.prepare_payload();
+    co_await boost::beast::http::async_write(stream, request,
+                                             boost::asio::use_awaitable);
+    boost::beast::flat_buffer buffer;
+    co_await boost::beast::http::async_read(stream, buffer, answer,
+                                            boost::asio::use_awaitable);
+    done = true;
+  }
+
+  fleet_config config_;
+  std::vector<std::unique_ptr<raw_server>> servers_;
+  std::vector<instance_entry> entries_;
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> callers_;
+};
+
+}  // namespace peridotarch
+
+#endif  // TESTS_FRONT_FRONT_WORLD_H_
--- /dev/null
+++ b/tests/front/store_test.cc
@@ -0,0 +1,113 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "front/store_watch.h"
+#include "front_world.h"
+#include "platform/base64.h"
+
+namespace peridotarch {
+namespace {
+
+std::string Ok(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+std::string Newest(const std::string& key, const std::string& value) {
+  nlohmann::json items = nlohmann::json::array();
+  if (!key.empty()) {
+    items.push_back({{"key", key}, {"value", ToBase64(value)}});
+  }
+  return Ok(
+      nlohmann::json{{"items", items}, {"has_more", false}, {"end_offset", 7}}
+          .dump());
+}
+
+constexpr const char* kConfig =
+    R"({"version":"r4","routes":[{"name":"n","host":"box.example",
+     "path_prefix":"/","kind":"safe","service":"s","max_attempts":1}],
+     "services":[{"name":"s","max_connections":3}]})";
+constexpr const char* kEntry =
+    R"({"service":"s","address":"127.0.0.1:9","zone":"a","slots":3,
+     "state":"ready","warmup_left_s":0,"seq":1,"born":5})";
+
+// A store that has one record in each topic and lets waiting reads hang.
+std::string AnswerAsStore(const http_request& request) {
+  const std::string target(request.target());
+  if (target.find("log-newest") != std::string::npos) {
+    if (target.find("keyed.op") != std::string::npos) {
+      return Newest("config", kConfig);
+    }
+    if (target.find("keyed.servers") != std::string::npos) {
+      return Newest("i-1", kEntry);
+    }
+    return Newest("", "");
+  }
+  return Ok(std::string(16, '\0'));
+}
+
+std::shared_ptr<front_node> NodeWith(boost::asio::io_context& context,
+                                     uint16_t store, uint16_t seed) {
+  node_settings settings;
+  settings.node = "edge-1";
+  settings.zone = "a";
+  settings.store = {"127.0.0.1", store};
+  settings.control = {"127.0.0.2", seed};
+  settings.seeds = {{"127.0.0.1", seed}};
+  return std::make_shared<front_node>(context, settings, 1);
+}
+
+TEST_CASE("a node is ready once it has a configuration and the instances") {
+  front_world world;
+  raw_server store(world.context, AnswerAsStore);
+  const auto here = NodeWith(world.context, store.port(), 1);
+  const auto watch = std::make_shared<store_watch>(here);
+  CHECK_FALSE(here->Ready());
+  watch->Start([](const host_port&) {});
+  world.RunUntil([&here] { return here->Ready(); });
+  CHECK(here->Ready());
+  CHECK(here->routes.Load()->config().version == 4);
+  CHECK(here->board.size() == 1);
+}
+
+TEST_CASE("store away at the start: a seed's copy of its records serves") {
+  front_world world;
+  raw_server store(world.context,
+                   [](const http_request&) { return std::string(); });
+  store_mirror mirror;
+  keyed_page page;
+  page.records = {{"config", kConfig}};
+  mirror.Take(kConfigTopic, page, true);
+  page.records = {{"i-1", kEntry}};
+  mirror.Take(kInstanceTopic, page, true);
+  raw_server seed(world.context, [&mirror](const http_request& request) {
+    return Ok(mirror.Answer(request.target()).body());
+  });
+  const auto here = NodeWith(world.context, store.port(), seed.port());
+  const auto watch = std::make_shared<store_watch>(here);
+  watch->Start([](const host_port&) {});
+  world.RunUntil([&here] { return here->Ready(); });
+  CHECK(here->Ready());
+  CHECK_FALSE(here->reads_store);
+}
+
+TEST_CASE("a mirror gives what was read, less what was removed") {
+  store_mirror mirror;
+  CHECK(mirror.Answer("/-/log-newest?topic=keyed.op&part=0").result_int() ==
+        404);
+  keyed_page page;
+  page.next = 3;
+  page.records = {{"one", "1"}, {"two", "2"}};
+  mirror.Take("keyed.op", page, true);
+  page.records = {{"one", std::nullopt}};
+  page.next = 4;
+  mirror.Take("keyed.op", page, false);
+  const auto json = nlohmann::json::parse(
+      mirror.Answer("/-/log-newest?part=0&topic=keyed.op").body());
+  CHECK(json["end_offset"] == 4);
+  REQUIRE(json["items"].size() == 1);
+  CHECK(json["items"][0]["key"] == "two");
+}
+
+}  // namespace
+}  // namespace peridotarch
--- a/tests/platform/boot_settings_test.cc
+++ b/tests/platform/boot_settings_test.cc
@@ -26,7 +26,8 @@
 
 const std::string kGood =
     "# comment\nnode=edge-1\nzone=a\ncallers=10.0.0.1:80\nready=10.0.0.1:81\n"
-    "store=10.0.0.2:82\ninner-ports=7660,7675\nmetrics-port=9464\n"
+    "store=10.0.0.2:82\ncontrol=10.0.0.1:83\nseeds=10.0.0.3:83,10.0.0.4:"
+    "83\ninner-ports=7660,7675\nmetrics-port=9464\n"
     "fleet-key=k\n"
     "bounds=drain_s=2,grace_s=6,retry_budget_ratio=0.2,"
     "retry_budget_slack=58,retry_window_s=10,new_one=true\nnew-line=x\n";
@@ -47,6 +48,8 @@
   CHECK(settings.node == "edge-1");
   CHECK(settings.callers == host_port{"10.0.0.1", 80});
   CHECK(settings.peer_port == 7660);
+  REQUIRE(settings.seeds.size() == 2);
+  CHECK(settings.seeds[1] == host_port{"10.0.0.4", 83});
   CHECK(settings.grace == millis(6'000));
   CHECK(settings.retries.slack == 58);
   CHECK(settings.retries.ratio == 0.2);
