Two nodes of a zone read the store for the others

Change: the two nodes of the lowest rank in a zone that read the store and were heard within 1.4 s read; reports carry the offset that a node knows, and who is behind reads the changes at the node that reported. A node that hears no reader reads itself, without waiting in its first read.

--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -71,6 +71,7 @@
   Put(body, report.incarnation);
   Put(body, report.number);
   Put(body, report.config_version);
+  Put(body, report.instances_offset);
   Put(body, report.zone);
   Put(body, static_cast<uint8_t>((report.leaving ? kLeavingFlag : 0) |
                                  (report.reads_store ? kReadsFlag : 0)));
@@ -113,6 +114,7 @@
   report.incarnation = fields.Take<uint32_t>();
   report.number = fields.Take<uint32_t>();
   report.config_version = fields.Take<uint32_t>();
+  report.instances_offset = fields.Take<uint32_t>();
   report.zone = fields.Take<uint16_t>();
   const auto flags = fields.Take<uint8_t>();
   report.leaving = (flags & kLeavingFlag) != 0;
--- a/balance/load_report.h
+++ b/balance/load_report.h
@@ -54,9 +54,10 @@
   uint32_t incarnation = 0;  ///< Of the sending process; later is higher.
   uint32_t number = 0;       ///< Rises with each report of the process.
   uint32_t config_version = 0;
-  uint16_t zone = 0;         ///< Key of the sender's availability zone.
-  bool leaving = false;      ///< The process is shutting down.
-  bool reads_store = false;  ///< Its last read of the store succeeded.
+  uint32_t instances_offset = 0;  ///< Of the entries that the sender knows.
+  uint16_t zone = 0;              ///< Key of the sender's availability zone.
+  bool leaving = false;           ///< The process is shutting down.
+  bool reads_store = false;       ///< Its last read of the store succeeded.
   std::vector<load_entry> load;
   std::vector<retry_usage> usage;
   std::vector<outcome_entry> outcomes;  ///< Numbered without a gap.
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -198,7 +198,7 @@
     }
   });
   asio::co_spawn(context, ReloadOnHangUp(here, settings_path), asio::detached);
-  peers->Start([watch](const std::string& peer) { watch->FetchConfig(peer); });
+  peers->Start([watch](const std::string& peer) { watch->CatchUp(peer); });
   watch->Start([peers](const host_port& peer) { peers->AddPeer(peer); });
   const serve probe = [here](boost::beast::tcp_stream stream) {
     return ServeProbe(here, std::move(stream));
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -50,10 +50,13 @@
   std::function<std::optional<std::string>()> reading_peer = [] {
     return std::optional<std::string>();
   };
-  store_mirror mirror;       ///< What this node has read of the store.
-  bool reads_store = false;  ///< The last read of the store succeeded.
-  int nodes = 1;             ///< Of the fleet that have been heard lately.
-  int in_flight = 0;         ///< Callers' requests.
+  /// Returns whether this node reads the store itself.
+  std::function<bool()> must_read = [] { return true; };
+  uint64_t instances_offset = 0;  ///< Of the entries that it knows.
+  store_mirror mirror;            ///< What this node has read of the store.
+  bool reads_store = false;       ///< The last read of the store succeeded.
+  int nodes = 1;                  ///< Of the fleet that have been heard lately.
+  int in_flight = 0;              ///< Callers' requests.
   bool instances_known = false;
   bool draining = false;
 
--- a/front/peer_link.cc
+++ b/front/peer_link.cc
@@ -11,7 +11,9 @@
 #include <utility>
 #include <vector>
 
+#include "balance/reader_choice.h"
 #include "core/error.h"
+#include "core/hash.h"
 #include "proxy/executor.h"
 
 namespace peridotarch {
@@ -44,9 +46,10 @@
   socket_.non_blocking(true);
 }
 
-void peer_link::Start(std::function<void(const std::string&)> on_newer_config) {
-  on_newer_config_ = std::move(on_newer_config);
+void peer_link::Start(std::function<void(const std::string&)> on_ahead) {
+  on_ahead_ = std::move(on_ahead);
   here_->load_changed = [this](load_change change) { Changed(change); };
+  here_->must_read = [this] { return MustReadStore(); };
   here_->reading_peer = [this] { return ReadingPeer(); };
   // The coroutines keep this object alive until the loop has ended.
   const auto self = shared_from_this();
@@ -125,6 +128,7 @@
   report.zone = zone_;
   report.leaving = here_->draining;
   report.reads_store = here_->reads_store;
+  report.instances_offset = static_cast<uint32_t>(here_->instances_offset);
   if (to == scope::kAll || to == scope::kLive) {
     report.usage = here_->retries.Usage(now);
   }
@@ -166,6 +170,23 @@
   }
 }
 
+bool peer_link::IsAhead(const load_report& report) const {
+  const auto routes = here_->routes.Load();
+  return report.config_version > (routes ? routes->config().version : 0) ||
+         report.instances_offset > here_->instances_offset;
+}
+
+bool peer_link::MustReadStore() const {
+  std::vector<reader_candidate> others;
+  others.reserve(peers_.size());
+  for (const auto& [at, known] : peers_) {
+    others.push_back({Hash64(at.address().to_string()), known.zone == zone_,
+                      known.reads_store && !known.leaving, known.heard});
+  }
+  const uint64_t own = Hash64(socket_.local_endpoint().address().to_string());
+  return here_->draining || MustRead(own, others, boot_clock::Now());
+}
+
 // One of the own zone where there is one; at random, so that one peer does not
 // serve all.
 std::optional<std::string> peer_link::ReadingPeer() const {
@@ -216,9 +237,8 @@
       here_->retries.Apply(from.address().to_string(), report.usage, now);
     }
     here_->LogHealthChanges();
-    const auto routes = here_->routes.Load();
-    if (report.config_version > (routes ? routes->config().version : 0)) {
-      on_newer_config_(from.address().to_string());
+    if (IsAhead(report)) {
+      on_ahead_(from.address().to_string());
     }
   } catch (const codec_error& bad) {
     here_->counters
--- a/front/peer_link.h
+++ b/front/peer_link.h
@@ -19,9 +19,9 @@
  public:
   explicit peer_link(std::shared_ptr<front_node> here);
 
-  /// Starts to report and to listen. `on_newer_config` is called with the
-  /// address of a peer that has a newer configuration than this node.
-  void Start(std::function<void(const std::string&)> on_newer_config);
+  /// Starts to report and to listen. `on_ahead` is called with the address
+  /// of a peer that knows more of the store than this node.
+  void Start(std::function<void(const std::string&)> on_ahead);
   /// Adds a node that announced itself in the store.
   void AddPeer(const host_port& peer);
   /// Sends a last report, which says that this node is leaving.
@@ -57,6 +57,8 @@
             std::string_view datagram);
   void CountNodes(millis now);
   [[nodiscard]] std::optional<std::string> ReadingPeer() const;
+  [[nodiscard]] bool MustReadStore() const;
+  [[nodiscard]] bool IsAhead(const load_report& report) const;
 
   const std::shared_ptr<front_node> here_;
   boost::asio::ip::udp::socket socket_;
@@ -65,7 +67,7 @@
   const uint16_t zone_;
   uint32_t number_ = 0;
   std::map<boost::asio::ip::udp::endpoint, peer> peers_;
-  std::function<void(const std::string&)> on_newer_config_;
+  std::function<void(const std::string&)> on_ahead_;
 };
 
 }  // namespace peridotarch
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -26,9 +26,10 @@
 constexpr millis kInstancePause(500);
 // While lapsed entries wait to be dropped.
 constexpr millis kSettleWait(200);
-constexpr millis kFirstRetry(150);  // while this node cannot serve yet
-constexpr millis kFetchPause(30);   // between reads at peers that are ahead
-constexpr millis kRetry(900);       // every call is paid for, refused ones too
+constexpr millis kFirstRetry(150);     // while this node cannot serve yet
+constexpr millis kDelegateCheck(250);  // whether others still read for it
+constexpr millis kFetchPause(30);      // between reads at peers that are ahead
+constexpr millis kRetry(900);  // every call is paid for, refused ones too
 
 endpoint StoreOf(const front_node& here) {
   return {here.settings.store.host, here.settings.store.port};
@@ -104,9 +105,9 @@
 awaitable<void> store_watch::ReadConfig() {
   keyed_page page;
   if (config_next_) {
-    // A read that waits hides whether the store is back, so the first one
-    // after a failure does not.
-    const millis wait = config_reached_ ? kConfigWait : millis(0);
+    // A read that waits hides whether the store is there, so the first one
+    // after a failure or after others have read for this node does not.
+    const millis wait = config_waits_ ? kConfigWait : millis(0);
     page = co_await config_client_.Read(kConfigTopic, *config_next_, wait,
                                         wait + kCallTimeout);
   }
@@ -114,9 +115,8 @@
     config_next_.reset();
     page = co_await config_client_.Newest(kConfigTopic, kCallTimeout);
   }
-  const bool whole = !config_next_;
   config_next_ = page.next;
-  here_->mirror.Take(kConfigTopic, page, whole);
+  here_->mirror.Take(kConfigTopic, page);
   TakeConfig(page);
 }
 
@@ -144,11 +144,17 @@
   const bool config = topic == kConfigTopic;
   try {
     store_client peer(here_->context.get_executor(), where);
-    const keyed_page page = co_await peer.Newest(topic, kCallTimeout);
+    const keyed_page page = co_await peer.Newest(
+        topic, kCallTimeout, config ? config_next_ : instances_next_);
+    if (page.next < (config ? config_next_ : instances_next_).value_or(0)) {
+      co_return;
+    }
     if (config) {
+      config_next_ = page.next;
+      here_->mirror.Take(kConfigTopic, page);
       TakeConfig(page);
     } else {
-      TakeInstances(page, true);
+      TakeInstances(page);
       here_->instances_known = true;
       PublishInstances();
     }
@@ -162,9 +168,22 @@
   }
 }
 
+// Two nodes of a zone read for the others, which learn from reports that
+// there is something new and read it at the node that reports it.
+bool store_watch::Delegates() const {
+  return here_->routes.Load() != nullptr && here_->instances_known &&
+         config_reached_ && instances_reached_ && !instances_.Unsettled() &&
+         !here_->must_read();
+}
+
 awaitable<void> store_watch::FollowConfig() {
   const asio::any_io_executor on = here_->context.get_executor();
   for (;;) {
+    if (Delegates()) {
+      config_waits_ = false;
+      co_await Sleep(on, kDelegateCheck);
+      continue;
+    }
     std::string failed;
     try {
       co_await ReadConfig();
@@ -172,6 +191,7 @@
       failed = away.what();
     }
     config_reached_ = failed.empty();
+    config_waits_ = config_reached_;
     NoteStore(failed.empty(), "config", failed);
     if (!failed.empty()) {
       const endpoint peer = MirrorAddress();
@@ -181,23 +201,27 @@
   }
 }
 
-void store_watch::FetchConfig(const std::string& peer) {
+void store_watch::CatchUp(const std::string& peer) {
   if (!fetching_) {
     fetching_ = true;
-    newer_at_ = peer;
-    Spawn(&store_watch::FetchConfigOnce);
+    ahead_ = peer;
+    Spawn(&store_watch::CatchUpOnce);
   }
 }
 
-awaitable<void> store_watch::FetchConfigOnce() {
+awaitable<void> store_watch::CatchUpOnce() {
   const asio::any_io_executor on = here_->context.get_executor();
-  const endpoint newer{newer_at_, here_->settings.control.port};
+  const endpoint newer{ahead_, here_->settings.control.port};
   co_await ReadFromPeer(kConfigTopic, newer);
+  co_await ReadFromPeer(kInstanceTopic, newer);
   co_await Sleep(on, kFetchPause);
   fetching_ = false;
 }
 
-void store_watch::TakeInstances(const keyed_page& page, bool whole) {
+void store_watch::TakeInstances(const keyed_page& page) {
+  instances_next_ = page.next;
+  here_->instances_offset = page.next;
+  here_->mirror.Take(kInstanceTopic, page);
   const millis now = boot_clock::Now();
   std::vector<instance_entry> listed;
   for (const keyed_record& record : page.records) {
@@ -208,7 +232,7 @@
     try {
       const instance_entry entry = DecodeInstance(record.key, *record.value);
       listed.push_back(entry);
-      if (!whole) {
+      if (!page.whole) {
         instances_.Put(entry);
       }
     } catch (const codec_error& bad) {
@@ -216,7 +240,7 @@
                        {{"instance", record.key}, {"error", bad.what()}});
     }
   }
-  if (whole) {
+  if (page.whole) {
     instances_.Replace(listed, now);
   }
 }
@@ -232,6 +256,7 @@
   for (const instance_entry& entry : entries) {
     draining += entry.draining ? 1 : 0;
   }
+  here_->load_changed(load_change::kFailed);
   here_->log.Write("instances_changed",
                    {{"instances", entries.size()},
                     {"draining", draining},
@@ -240,7 +265,6 @@
 
 awaitable<void> store_watch::ReadInstances() {
   keyed_page page;
-  bool whole = false;
   if (instances_next_) {
     const millis wait = InstanceWait();
     page = co_await instance_client_.Read(kInstanceTopic, *instances_next_,
@@ -249,17 +273,14 @@
   if (!instances_next_ || page.forgotten) {
     instances_next_.reset();
     page = co_await instance_client_.Newest(kInstanceTopic, kCallTimeout);
-    whole = true;
   }
-  instances_next_ = page.next;
-  here_->mirror.Take(kInstanceTopic, page, whole);
-  TakeInstances(page, whole);
+  TakeInstances(page);
   instances_.NoteStoreRead();
   here_->instances_known = true;
 }
 
 millis store_watch::InstanceWait() const {
-  if (!instances_reached_) {
+  if (!instances_wait_) {
     return millis(0);
   }
   return instances_.Unsettled() ? kSettleWait : kInstanceWait;
@@ -278,6 +299,11 @@
 awaitable<void> store_watch::FollowInstances() {
   const asio::any_io_executor on = here_->context.get_executor();
   for (;;) {
+    if (Delegates()) {
+      instances_wait_ = false;
+      co_await Sleep(on, kDelegateCheck);
+      continue;
+    }
     std::string failed;
     try {
       co_await ReadInstances();
@@ -285,6 +311,7 @@
       failed = away.what();
     }
     instances_reached_ = failed.empty();
+    instances_wait_ = instances_reached_;
     NoteStore(failed.empty(), "instances", failed);
     if (!failed.empty()) {
       const endpoint peer = MirrorAddress();
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -23,22 +23,23 @@
 
   /// Starts to follow; `on_peer` is called for each node that is found.
   void Start(std::function<void(const host_port&)> on_peer);
-  /// Reads the configuration at a peer that has a newer one.
-  void FetchConfig(const std::string& peer);
+  /// Reads at a peer that knows more of the store than this node.
+  void CatchUp(const std::string& peer);
 
  private:
   void Spawn(awaitable<void> (store_watch::*run)());
   awaitable<void> FollowConfig();
   awaitable<void> FollowInstances();
   awaitable<void> Announce();
-  awaitable<void> FetchConfigOnce();
+  awaitable<void> CatchUpOnce();
   awaitable<void> ReadFromPeer(std::string_view topic, const endpoint& where);
   [[nodiscard]] millis InstanceWait() const;
   [[nodiscard]] endpoint MirrorAddress();
   awaitable<void> ReadConfig();
   awaitable<void> ReadInstances();
   void TakeConfig(const keyed_page& page);
-  void TakeInstances(const keyed_page& page, bool whole);
+  void TakeInstances(const keyed_page& page);
+  [[nodiscard]] bool Delegates() const;
   void PublishInstances();
   [[nodiscard]] millis PauseAfter(bool reached) const;
   void NoteStore(bool reached, const std::string& call,
@@ -52,10 +53,12 @@
   std::optional<uint64_t> instances_next_;
   instance_list instances_;
   bool fetching_ = false;
-  std::string newer_at_;
+  std::string ahead_;  ///< A peer that knows more.
   bool reached_ = true;
-  bool config_reached_ = true;
-  bool instances_reached_ = true;
+  bool config_reached_ = true;     ///< Of the last read.
+  bool instances_reached_ = true;  ///< Of the last read.
+  bool config_waits_ = false;      ///< The next read waits for a change.
+  bool instances_wait_ = false;
   size_t next_seed_ = 0;
   std::function<void(const host_port&)> on_peer_;
 };
