--- a/balance/node_settings.h
+++ b/balance/node_settings.h
@@ -25,7 +25,6 @@
   std::string fleet_key;         ///< Keeps out other fleets' reports.
   uint16_t metrics_port = 0;
   millis grace;         ///< From SIGTERM until the process is killed.
-  millis drain;         ///< A leaving instance gets no new work after it.
   retry_bound retries;  ///< For the whole fleet.
 };
 
--- a/front/caller_call.cc
+++ b/front/caller_call.cc
@@ -148,6 +148,7 @@
   order.id = terms_.id;
   order.time_left = answer_by_ - start;
   order.max_idle = route_->idempotent ? kMaxIdleIdempotent : kMaxIdle;
+  Check(!order.instance.draining, invariant::kLeaving);
   const auto handle = std::make_shared<exchange_handle>();
   call_.exchange = handle;
   here_.board.Begin(key);
@@ -280,6 +281,8 @@
 
 http_response call_run::Refuse(reason why, millis retry_after) {
   const reply_rule rule = ReplyFor(why);
+  Check(rule.said != verdict::kNotRun || may_have_run_ == 0,
+        invariant::kNotRun);
   LogAnswer(why, rule.status, retry_after);
   return OwnAnswer(rule.status, terms_.id, std::string(ToName(why)),
                    retry_after);
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -7,7 +7,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <vector>
@@ -39,6 +41,7 @@
 constexpr millis kCloseMargin(1'600);  // idle connections, before the kill
 constexpr millis kEndMargin(400);      // the process, before the kill
 constexpr millis kQuietCheck(50);
+constexpr millis kFileCheck(5'000);
 
 using serve = std::function<awaitable<void>(boost::beast::tcp_stream)>;
 
@@ -155,7 +158,6 @@
     const node_settings fresh = ReadBootSettings(path);
     here.retries.SetBound(fresh.retries);
     here.settings.grace = fresh.grace;
-    here.settings.drain = fresh.drain;
     here.log.Write("reloaded", {{"retry_ratio", fresh.retries.ratio},
                                 {"retry_slack", fresh.retries.slack},
                                 {"grace_ms", fresh.grace.count()}});
@@ -164,6 +166,26 @@
   }
 }
 
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+// The platform may change the file without a signal.
+awaitable<void> ReloadOnChange(std::shared_ptr<front_node> here,
+                               std::string path) {
+  const asio::any_io_executor on = here->context.get_executor();
+  std::string known = ReadFile(path);
+  for (;;) {
+    co_await Sleep(on, kFileCheck);
+    std::string text = ReadFile(path);
+    if (text != known) {
+      known = std::move(text);
+      Reload(*here, path);
+    }
+  }
+}
+
 awaitable<void> ReloadOnHangUp(std::shared_ptr<front_node> here,
                                std::string path) {
   asio::signal_set hang_up(here->context, SIGHUP);
@@ -198,6 +220,7 @@
     }
   });
   asio::co_spawn(context, ReloadOnHangUp(here, settings_path), asio::detached);
+  asio::co_spawn(context, ReloadOnChange(here, settings_path), asio::detached);
   peers->Start([watch](const std::string& peer) { watch->CatchUp(peer); });
   watch->Start([peers](const host_port& peer) { peers->AddPeer(peer); });
   const serve probe = [here](boost::beast::tcp_stream stream) {
--- a/tests/platform/boot_settings_test.cc
+++ b/tests/platform/boot_settings_test.cc
@@ -29,7 +29,7 @@
     "store=10.0.0.2:82\ncontrol=10.0.0.1:83\nseeds=10.0.0.3:83,10.0.0.4:"
     "83\ninner-ports=7660,7675\nmetrics-port=9464\n"
     "fleet-key=k\n"
-    "bounds=drain_s=2,grace_s=6,retry_budget_ratio=0.2,"
+    "bounds=grace_s=6,retry_budget_ratio=0.2,"
     "retry_budget_slack=58,retry_window_s=10,new_one=true\nnew-line=x\n";
 
 std::string ErrorOf(const std::string& text) {
