Late pages of the store do not undo later records from peers

Cause: read-through: a read of the store that ends after a catch-up at a peer set the position back and could list an instance again that had left, for half a second. Change: one guard in TakeInstances and TakeConfig in place of the one for peers; the unused bound on connections is gone from the route index.

--- a/balance/route_index.cc
+++ b/balance/route_index.cc
@@ -21,9 +21,6 @@
   for (const host_route& route : config_.routes) {
     by_prefix_.emplace(NormalHost(route.host) + route.prefix, &route);
   }
-  for (const fleet_service& service : config_.services) {
-    max_connections_.emplace(service.name, service.max_connections);
-  }
 }
 
 // Prefixes end with a slash, so one look-up for each slash of the path finds
@@ -43,11 +40,6 @@
   return nullptr;
 }
 
-int route_index::MaxConnections(const std::string& service) const {
-  const auto found = max_connections_.find(service);
-  return found == max_connections_.end() ? 0 : found->second;
-}
-
 const std::string& PickService(const host_route& route, double draw) {
   double total = 0;
   for (const weighted_service& part : route.services) {
--- a/balance/route_index.h
+++ b/balance/route_index.h
@@ -20,14 +20,9 @@
                                        std::string_view target) const;
   [[nodiscard]] const fleet_config& config() const { return config_; }
 
-  /// Returns the connections that one instance of the service takes from the
-  /// whole fleet; zero when the service is not configured.
-  [[nodiscard]] int MaxConnections(const std::string& service) const;
-
  private:
   const fleet_config config_;
   std::unordered_map<std::string, const host_route*> by_prefix_;
-  std::unordered_map<std::string, int> max_connections_;
 };
 
 /// Returns the service for `draw` in [0, 1), in proportion to the weights.
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -1,5 +1,6 @@
 #include "front/store_watch.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
@@ -76,6 +77,12 @@
 }
 
 void store_watch::TakeConfig(const keyed_page& page) {
+  const uint64_t known = config_next_.value_or(0);
+  config_next_ = std::max(page.next, known);
+  if (page.next < known) {
+    return;
+  }
+  here_->mirror.Take(kConfigTopic, page);
   for (const keyed_record& record : page.records) {
     if (record.key != kConfigKey || !record.value) {
       continue;
@@ -115,8 +122,6 @@
     config_next_.reset();
     page = co_await config_client_.Newest(kConfigTopic, kCallTimeout);
   }
-  config_next_ = page.next;
-  here_->mirror.Take(kConfigTopic, page);
   TakeConfig(page);
 }
 
@@ -146,12 +151,7 @@
     store_client peer(here_->context.get_executor(), where);
     const keyed_page page = co_await peer.Newest(
         topic, kCallTimeout, config ? config_next_ : instances_next_);
-    if (page.next < (config ? config_next_ : instances_next_).value_or(0)) {
-      co_return;
-    }
     if (config) {
-      config_next_ = page.next;
-      here_->mirror.Take(kConfigTopic, page);
       TakeConfig(page);
     } else {
       TakeInstances(page);
@@ -218,8 +218,13 @@
   fetching_ = false;
 }
 
+// A read of the store may end after a peer has given later records: what it
+// brings is older, and would bring back instances that have left.
 void store_watch::TakeInstances(const keyed_page& page) {
-  instances_next_ = page.next;
+  instances_next_ = std::max(page.next, here_->instances_offset);
+  if (page.next < here_->instances_offset) {
+    return;
+  }
   here_->instances_offset = page.next;
   here_->mirror.Take(kInstanceTopic, page);
   const millis now = boot_clock::Now();
--- a/tests/front/store_test.cc
+++ b/tests/front/store_test.cc
@@ -143,6 +143,38 @@
   CHECK(version() == 4);
 }
 
+TEST_CASE("older entries do not undo what a peer has given") {
+  front_world world;
+  raw_server store(world.context,
+                   [](const http_request&) { return std::string(); });
+  uint64_t offset = 9;
+  std::string key = "i-1";
+  raw_server peer(world.context, [&](const http_request& request) {
+    if (request.target().find("keyed.op") != std::string_view::npos) {
+      return Newest("config", kConfig);
+    }
+    nlohmann::json items = {{{"key", key}, {"value", ToBase64(kEntry)}}};
+    return Ok(nlohmann::json{
+        {"items", items}, {"has_more", false}, {"end_offset", offset}}
+                  .dump());
+  });
+  const auto here = NodeWith(world.context, store.port(), peer.port());
+  const auto watch = std::make_shared<store_watch>(here);
+  watch->CatchUp("127.0.0.1");
+  world.RunUntil([&here] { return here->instances_offset == 9; });
+  REQUIRE(here->board.Find(KeyOf("i-1")) != nullptr);
+  offset = 8;
+  key = "i-gone";
+  world.RunUntil([&peer] { return peer.served >= 2; });
+  world.context.run_for(std::chrono::milliseconds(100));
+  watch->CatchUp("127.0.0.1");
+  world.RunUntil([&peer] { return peer.served >= 4; });
+  world.context.run_for(std::chrono::milliseconds(100));
+  CHECK(here->instances_offset == 9);
+  CHECK(here->board.Find(KeyOf("i-gone")) == nullptr);
+  CHECK(here->board.Find(KeyOf("i-1")) != nullptr);
+}
+
 TEST_CASE("a mirror gives what was read, less what was removed") {
   store_mirror mirror;
   CHECK(mirror.Answer("/-/log-newest?topic=keyed.op&part=0").result_int() ==
