One function says how an exchange ended

Cause: EndingOf stood twice, in front/instance_pool and proxy/upstream_link, word for word. Change: proxy/exchange_ending holds it; both call it.

--- a/front/instance_pool.cc
+++ b/front/instance_pool.cc
@@ -16,6 +16,7 @@
 #include "platform/call_wire.h"
 #include "platform/quiet.h"
 #include "platform/to_chrono.h"
+#include "proxy/exchange_ending.h"
 
 namespace peridotarch {
 
@@ -39,20 +40,6 @@
 constexpr int kInformational = 1;  // 1xx
 constexpr int kMaxForeignAnswers = 3;
 
-attempt_ending EndingOf(const error_code& failure) {
-  if (failure == beast::error::timeout) {
-    return attempt_ending::kTimeout;
-  }
-  if (failure == http::error::end_of_stream ||
-      failure == http::error::partial_message || failure == asio::error::eof) {
-    return attempt_ending::kClosed;
-  }
-  if (failure.category() == http::make_error_code(http::error{}).category()) {
-    return attempt_ending::kMalformed;
-  }
-  return attempt_ending::kReset;
-}
-
 std::string AddressOf(const instance_entry& instance) {
   return instance.address + ':' + std::to_string(instance.port) + '/' +
          instance.id;
--- /dev/null
+++ b/proxy/exchange_ending.cc
@@ -0,0 +1,28 @@
+#include "proxy/exchange_ending.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace peridotarch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+attempt_ending EndingOf(const error_code& failure) {
+  if (failure == beast::error::timeout) {
+    return attempt_ending::kTimeout;
+  }
+  if (failure == http::error::end_of_stream ||
+      failure == http::error::partial_message || failure == asio::error::eof) {
+    return attempt_ending::kClosed;
+  }
+  if (failure.category() == http::make_error_code(http::error{}).category()) {
+    return attempt_ending::kMalformed;
+  }
+  return attempt_ending::kReset;
+}
+
+}  // namespace peridotarch
--- a/proxy/upstream_link.cc
+++ b/proxy/upstream_link.cc
@@ -18,6 +18,7 @@
 #include "inner/headers.h"
 #include "platform/quiet.h"
 #include "platform/to_chrono.h"
+#include "proxy/exchange_ending.h"
 #include "proxy/message.h"
 
 namespace peridotarch {
@@ -36,20 +37,6 @@
 
 using answer_parser = http::response_parser<http::string_body>;
 
-attempt_ending EndingOf(const error_code& failure) {
-  if (failure == beast::error::timeout) {
-    return attempt_ending::kTimeout;
-  }
-  if (failure == http::error::end_of_stream ||
-      failure == http::error::partial_message || failure == asio::error::eof) {
-    return attempt_ending::kClosed;
-  }
-  if (failure.category() == http::make_error_code(http::error{}).category()) {
-    return attempt_ending::kMalformed;
-  }
-  return attempt_ending::kReset;
-}
-
 // An answer that only the end of the connection delimits cannot be told from
 // one that was cut, so it does not count as whole.
 bool HasKnownLength(const answer_parser& parser) {
