Claim records: a length that lies allocates nothing

Ruled out: the checksum as a guard (the fuzzer solved it; it is not keyed).

Change: the limits are those of a whole batch; bytes after a batch are an error.

--- a/request/claim_record.cc
+++ b/request/claim_record.cc
@@ -14,6 +14,7 @@
 constexpr size_t kEntryFields = 6;
 constexpr size_t kBatchFields = 4;
 constexpr size_t kMaxEntries = 4096;
+constexpr size_t kMaxDepth = 3;  ///< Batch, entries, an entry's fields.
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -51,9 +52,17 @@
   return entry;
 }
 
+// The limits are those of a batch that is whole: a length that lies allocates
+// nothing before it is found out.
 claim_batch UnpackBatch(std::string_view body) {
+  const msgpack::unpack_limit limit(kMaxEntries, 0, kFormat.size(),
+                                    claim_entry{}.key.id.size(), 0, kMaxDepth);
+  size_t used = 0;
   const msgpack::object_handle handle =
-      msgpack::unpack(body.data(), body.size());
+      msgpack::unpack(body.data(), body.size(), used, nullptr, nullptr, limit);
+  if (used != body.size()) {
+    throw msgpack::type_error();
+  }
   const auto fields = handle.get().as<std::vector<msgpack::object>>();
   if (fields.size() != kBatchFields || fields[0].as<std::string>() != kFormat) {
     throw msgpack::type_error();
@@ -86,7 +95,10 @@
   for (const claim_entry& entry : batch.entries) {
     Pack(out, entry);
   }
-  const std::string_view body(buffer.data(), buffer.size());
+  return WithClaimChecksum({buffer.data(), buffer.size()});
+}
+
+std::string WithClaimChecksum(std::string_view body) {
   uint64_t checksum = Hash64(body, kChecksumSeed);
   std::string record;
   for (size_t i = 0; i < sizeof(checksum); ++i) {
--- a/request/claim_record.h
+++ b/request/claim_record.h
@@ -56,6 +56,9 @@
 /// Encodes a record.
 std::string EncodeClaims(const claim_batch& batch);
 
+/// The record of a body: its checksum, then the body.
+std::string WithClaimChecksum(std::string_view body);
+
 /// Decodes a record; nothing when it is torn or foreign.
 std::optional<claim_batch> DecodeClaims(std::string_view data);
 
--- a/tests/request/claims_test.cc
+++ b/tests/request/claims_test.cc
@@ -5,6 +5,7 @@
 
 #include "core/invariant.h"
 #include "core/random.h"
+#include "request/claim_record.h"
 #include "request/claimer.h"
 #include "tests/request/fake_log.h"
 
@@ -93,6 +94,16 @@
   CHECK_FALSE(DecodeClaims("foreign"));
 }
 
+// Found by scripts/fuzz: a map of 2^31 elements under a checksum that holds.
+TEST_CASE("a claim record whose lengths lie is void and allocates nothing") {
+  for (const std::string_view body :
+       {"\x86\x86\x86\x86", "\xdf\x86\x86\x86\x86", "\xdd\xff\xff\xff\xff",
+        "\xc6\xff\xff\xff\xff", "\xdb\xff\xff\xff\xff",
+        "\x91\x91\x91\x91\x91\x91"}) {
+    CHECK_FALSE(DecodeClaims(WithClaimChecksum(body)));
+  }
+}
+
 TEST_CASE("the first claim in the log wins and repeats learn the status") {
   SetBreachesFatal(true);
   fake_log log;
