--- a/request/slot_table.cc
+++ b/request/slot_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/invariant.h"
+#include "core/trial_pace.h"
 
 namespace peridotarch {
 
@@ -76,7 +77,7 @@
   ++instance.busy;
   Check(instance.busy <= instance.view.slots, invariant::kSlots);
   if (OnTrial(instance.view.state)) {
-    instance.next_trial = now + limits_.trial_interval;
+    instance.next_trial = now + TrialInterval(instance.view.state);
     instance.trial_from =
         taken_ + static_cast<uint64_t>(limits_.trial_divisor * OpenCount());
   }
--- a/request/slot_table.h
+++ b/request/slot_table.h
@@ -16,8 +16,7 @@
 
 /// When instances get work.
 struct slot_limits {
-  millis cold_ramp = millis(10'000);      ///< From the first slot to all.
-  millis trial_interval = millis(1'000);  ///< At least, between trials.
+  millis cold_ramp = millis(10'000);  ///< From the first slot to all.
   int trial_divisor = 10;  ///< A trial instance gets this part of the work of
                            ///< one that takes regular work.
   millis shed_backoff = millis(50);  ///< Without new work after a shed answer.
