--- a/balance/retry_pool.cc
+++ b/balance/retry_pool.cc
@@ -41,19 +41,19 @@
 
 // A node that hears only some of its peers uses only their part of the slack:
 // the others may be using theirs.
-bool retry_pool::TakeRetry(std::string_view service, int priority, millis now) {
+retry_standing retry_pool::Standing(std::string_view service, int priority,
+                                    millis now) {
   const uint32_t key = KeyOf(service);
-  own_usage& own = Own(key, now);
-  auto requests = static_cast<double>(own.requests.size());
-  auto retries = static_cast<double>(own.retries.size());
-  int heard = 1;
-  int known = 1;
+  const own_usage& own = Own(key, now);
+  size_t requests = own.requests.size();
+  size_t retries = own.retries.size();
+  retry_standing standing{0, 0, 1, 1};
   for (const auto& [name, peer] : peers_) {
-    known += now - peer.heard < kForgotten ? 1 : 0;
+    standing.known += now - peer.heard < kForgotten ? 1 : 0;
     if (now - peer.heard >= kFresh) {
       continue;
     }
-    ++heard;
+    ++standing.heard;
     for (const retry_usage& usage : peer.usage) {
       if (usage.service == key) {
         requests += usage.requests;
@@ -61,13 +61,21 @@
       }
     }
   }
-  const double slack = bound_.slack * heard / known;
+  const double slack = bound_.slack * standing.heard / standing.known;
   const int steps = std::clamp(priority - 1, 0, kMaxSteps);
   const double share = kUsableShare - kPriorityShare * steps;
-  if (retries + 1 > share * (bound_.ratio * requests + slack)) {
+  standing.used = static_cast<int>(retries);
+  standing.allowed = static_cast<int>(
+      share * (bound_.ratio * static_cast<double>(requests) + slack));
+  return standing;
+}
+
+bool retry_pool::TakeRetry(std::string_view service, int priority, millis now) {
+  const retry_standing standing = Standing(service, priority, now);
+  if (standing.used >= standing.allowed) {
     return false;
   }
-  own.retries.push_back(now);
+  Own(KeyOf(service), now).retries.push_back(now);
   return true;
 }
 
--- a/balance/retry_pool.h
+++ b/balance/retry_pool.h
@@ -21,6 +21,14 @@
   millis window = millis(10'000);
 };
 
+/// What is known of one service's budget.
+struct retry_standing {
+  int used = 0;     ///< Repeated sends of the fleet in the window.
+  int allowed = 0;  ///< For requests of the priority asked for.
+  int heard = 0;    ///< Nodes whose use is known, with this one.
+  int known = 0;    ///< Nodes that may be using a part.
+};
+
 /// The retry budget of each service, shared by the fleet: every node reports
 /// what it took in the window, and takes more only while the sum allows it.
 /// Not thread-safe.
@@ -32,8 +40,12 @@
   void SetBound(retry_bound bound) { bound_ = bound; }
   /// Counts a caller's request for the service.
   void NoteRequest(std::string_view service, millis now);
+  /// Returns what the budget allows a request of a priority; 0 is the most
+  /// urgent.
+  [[nodiscard]] retry_standing Standing(std::string_view service, int priority,
+                                        millis now);
   /// Takes one retry; false when the fleet's budget is used up. The less
-  /// urgent a request (0 is the most urgent), the sooner.
+  /// urgent a request, the sooner.
   bool TakeRetry(std::string_view service, int priority, millis now);
 
   /// Takes a peer's usage into account.
--- a/front/caller_call.cc
+++ b/front/caller_call.cc
@@ -10,6 +10,7 @@
 #include "balance/answer_rule.h"
 #include "balance/call_times.h"
 #include "core/invariant.h"
+#include "front/repeat_ruling.h"
 #include "platform/call_wire.h"
 #include "platform/to_chrono.h"
 #include "proxy/message.h"
@@ -52,7 +53,7 @@
   std::optional<reason> Prepare();
   awaitable<void> Try(attempt_record& attempt);
   void Judge(attempt_record& attempt);
-  [[nodiscard]] bool MayRepeat(const attempt_record& attempt);
+  [[nodiscard]] repeat_ruling MayRepeat(const attempt_record& attempt);
   http_response Deliver(attempt_record& attempt);
   http_response Refuse(reason why, millis retry_after);
   http_response Fail(const attempt_record& attempt);
@@ -61,7 +62,8 @@
   board_call Elsewhere(instance_key key, millis now);
   void NoteSlow(instance_key key, exchange_handle& attempt);
   [[nodiscard]] millis Spread(millis span);
-  void LogAttempt(const attempt_record& attempt);
+  void LogAttempt(const attempt_record& attempt, repeat_ruling repeat);
+  void LogBudget();
   void LogAnswer(reason why, int status, millis retry_after);
 
   front_node& here_;
@@ -200,19 +202,31 @@
   }
 }
 
-bool call_run::MayRepeat(const attempt_record& attempt) {
-  const bool repeatable = route_->idempotent || may_have_run_ == 0;
+repeat_ruling call_run::MayRepeat(const attempt_record& attempt) {
+  const bool answered = attempt.ruling.deliver &&
+                        (attempt.ruling.outcome == attempt_outcome::kOk ||
+                         attempt.ruling.outcome == attempt_outcome::kUnknown);
+  if (answered) {
+    return repeat_ruling::kAnswered;
+  }
+  if (!route_->idempotent && may_have_run_ > 0) {
+    return repeat_ruling::kMayHaveRun;
+  }
+  if (call_.caller_left) {
+    return repeat_ruling::kCallerLeft;
+  }
   const millis now = boot_clock::Now();
-  if (!repeatable || call_.caller_left || until_ - now <= kLeastTime ||
-      sent_ >= route_->max_attempts || tried_.size() >= kMaxTries) {
-    return false;
+  if (until_ - now <= kLeastTime) {
+    return repeat_ruling::kNoTime;
   }
-  if (std::exchange(retry_taken_, false)) {
-    return true;
+  if (sent_ >= route_->max_attempts || tried_.size() >= kMaxTries) {
+    return repeat_ruling::kAttemptsUsed;
   }
   // What never left this node is no repeat for the service.
-  return attempt.result.end.written == written_part::kNothing ||
-         here_.retries.TakeRetry(service_, route_->priority, now);
+  const bool granted = std::exchange(retry_taken_, false) ||
+                       attempt.result.end.written == written_part::kNothing ||
+                       here_.retries.TakeRetry(service_, route_->priority, now);
+  return granted ? repeat_ruling::kRepeat : repeat_ruling::kBudgetUsed;
 }
 
 reason call_run::WhyFailed(const attempt_record& attempt) const {
@@ -223,7 +237,7 @@
                                                  : reason::kUpstreamMalformed;
 }
 
-void call_run::LogAttempt(const attempt_record& attempt) {
+void call_run::LogAttempt(const attempt_record& attempt, repeat_ruling repeat) {
   const bool answered = attempt.result.end.ended == attempt_ending::kAnswered;
   here_.log.Write(
       "attempt", {{"request", terms_.id},
@@ -238,7 +252,23 @@
                   {"status", answered ? attempt.result.answer.result_int() : 0},
                   {"outcome", ToName(attempt.ruling.outcome)},
                   {"verdict", ToName(attempt.ruling.said)},
+                  {"repeat", ToName(repeat)},
                   {"ms", attempt.latency.count()}});
+  if (repeat == repeat_ruling::kBudgetUsed) {
+    LogBudget();
+  }
+}
+
+void call_run::LogBudget() {
+  const retry_standing standing =
+      here_.retries.Standing(service_, route_->priority, boot_clock::Now());
+  here_.log.Write("retry_denied", {{"request", terms_.id},
+                                   {"service", service_},
+                                   {"priority", route_->priority},
+                                   {"used", standing.used},
+                                   {"allowed", standing.allowed},
+                                   {"nodes_heard", standing.heard},
+                                   {"nodes_known", standing.known}});
 }
 
 void call_run::LogAnswer(reason why, int status, millis retry_after) {
@@ -312,11 +342,9 @@
     attempt = std::move(next);
     co_await Try(attempt);
     tried_.push_back(attempt.choice.key);
-    LogAttempt(attempt);
-    const bool good = attempt.ruling.deliver &&
-                      (attempt.ruling.outcome == attempt_outcome::kOk ||
-                       attempt.ruling.outcome == attempt_outcome::kUnknown);
-    if (good || !MayRepeat(attempt)) {
+    const repeat_ruling repeat = MayRepeat(attempt);
+    LogAttempt(attempt, repeat);
+    if (repeat != repeat_ruling::kRepeat) {
       break;
     }
   }
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -152,15 +152,24 @@
   here->context.stop();
 }
 
+void LogSettings(front_node& here, std::string_view event) {
+  const node_settings& now = here.settings;
+  here.log.Write(event, {{"zone", now.zone},
+                         {"incarnation", here.incarnation},
+                         {"retry_ratio", now.retries.ratio},
+                         {"retry_slack", now.retries.slack},
+                         {"retry_window_ms", now.retries.window.count()},
+                         {"grace_ms", now.grace.count()}});
+}
+
 // A bad file leaves the settings in force.
 void Reload(front_node& here, const std::string& path) {
   try {
     const node_settings fresh = ReadBootSettings(path);
     here.retries.SetBound(fresh.retries);
+    here.settings.retries = fresh.retries;
     here.settings.grace = fresh.grace;
-    here.log.Write("reloaded", {{"retry_ratio", fresh.retries.ratio},
-                                {"retry_slack", fresh.retries.slack},
-                                {"grace_ms", fresh.grace.count()}});
+    LogSettings(here, "reloaded");
   } catch (const settings_error& bad) {
     here.log.Write("reload_refused", {{"error", bad.what()}});
   }
@@ -203,8 +212,7 @@
   const auto seed = static_cast<uint64_t>(wall_clock::Now().count());
   const auto here = std::make_shared<front_node>(context, settings,
                                                  seed ^ KeyOf(settings.node));
-  here->log.Write(
-      "started", {{"zone", settings.zone}, {"incarnation", here->incarnation}});
+  LogSettings(*here, "started");
   std::signal(SIGPIPE, SIG_IGN);
   tcp::acceptor callers = Listen(context, settings.callers);
   tcp::acceptor ready = Listen(context, settings.ready);
--- a/tests/balance/retry_pool_test.cc
+++ b/tests/balance/retry_pool_test.cc
@@ -70,6 +70,26 @@
   CHECK(taken == 20);
 }
 
+TEST_CASE("what the budget allows is told with what it is based on") {
+  std::vector<retry_pool> nodes(2, retry_pool({0.2, 10, millis(10'000)}));
+  const millis now(1'000'000);
+  for (int i = 0; i < 100; ++i) {
+    nodes[0].NoteRequest("s", now);
+  }
+  REQUIRE(nodes[0].TakeRetry("s", 0, now));
+  TellAll(nodes, 0, now);
+  const retry_standing known = nodes[1].Standing("s", 0, now);
+  CHECK(known.used == 1);
+  CHECK(known.allowed > 20);
+  CHECK(known.allowed <= 30);
+  CHECK(known.heard == 2);
+  // A peer that went silent: its part of the slack may be in use.
+  const retry_standing alone = nodes[1].Standing("s", 0, now + millis(5'000));
+  CHECK(alone.heard == 1);
+  CHECK(alone.known == 2);
+  CHECK(alone.allowed <= 5);
+}
+
 TEST_CASE("what was taken comes back after the window") {
   retry_pool pool({0, 4, millis(10'000)});
   millis now(1'000'000);
--- a/tests/platform/boot_settings_test.cc
+++ b/tests/platform/boot_settings_test.cc
@@ -29,8 +29,15 @@
     "store=10.0.0.2:82\ncontrol=10.0.0.1:83\nseeds=10.0.0.3:83,10.0.0.4:"
     "83\ninner-ports=7660,7675\nmetrics-port=9464\n"
     "fleet-key=k\n"
-    "bounds=grace_s=6,retry_budget_ratio=0.2,"
-    "retry_budget_slack=58,retry_window_s=10,new_one=true\nnew-line=x\n";
+    "bounds={\"grace_s\":6,\"retry_budget_ratio\":0.2,"
+    "\"retry_budget_slack\":58,\"retry_window_s\":10,\"new_one\":true}\n"
+    "new-line=x\n";
+
+std::string WithBounds(const std::string& bounds) {
+  std::string text = kGood;
+  const size_t begin = text.find("bounds=") + std::string("bounds=").size();
+  return text.replace(begin, text.find('\n', begin) - begin, bounds);
+}
 
 std::string ErrorOf(const std::string& text) {
   const settings_file file(text);
@@ -55,14 +62,29 @@
   CHECK(settings.retries.ratio == 0.2);
 }
 
+TEST_CASE("bounds are a JSON object or pairs, and nothing else") {
+  for (const std::string bounds : {"{\"retry_budget_slack\": 7, \"grace_s\":6}",
+                                   "retry_budget_slack=7,grace_s=6"}) {
+    const settings_file file(WithBounds(bounds));
+    const node_settings settings = ReadBootSettings(file.path());
+    CHECK(settings.retries.slack == 7);
+    CHECK(settings.grace == millis(6'000));
+  }
+  for (const std::string bounds :
+       {"{\"grace_s\":6", "[\"grace_s=6\"]", "{\"grace_s\":\"6\"}", "grace_s:6",
+        "grace_s=6,,retry"}) {
+    CAPTURE(bounds);
+    CHECK_FALSE(ErrorOf(WithBounds(bounds)).empty());
+  }
+}
+
 TEST_CASE("a bad setting is named with what is allowed") {
   std::string bad = kGood;
   bad.replace(bad.find("10.0.0.1:80"), 11, "10.0.0.1:xx");
   CHECK(ErrorOf(bad) ==
         "setting callers: \"10.0.0.1:xx\" is not allowed; allowed: IP:PORT");
-  bad = kGood;
-  bad.replace(bad.find("grace_s=6"), 9, "grace_s=-");
-  CHECK(ErrorOf(bad).find("setting grace_s") == 0);
+  CHECK(ErrorOf(WithBounds("grace_s=-")).find("setting grace_s") == 0);
+  CHECK(ErrorOf(WithBounds("{\"grace_s\":-1}")).find("setting grace_s") == 0);
   CHECK(ErrorOf("node=x\n").find("setting zone") == 0);
   CHECK_THROWS_AS(ReadBootSettings("missing-file"), settings_error);
 }
