Trials: never by a repeat, first from the own zone, later after a failed one

Change: only the first attempt of a request that can be repeated, or one that is urgent for lack of such, is a trial; other zones leave the first 300 ms to the instance's own; a failed trial waits 1.8 s (a sound instance is due two seconds after its own failure). Tests "a repeat is not sent to another suspect", "a failed trial waits longer", "its own zone tries it first".

--- a/balance/instance_board.cc
+++ b/balance/instance_board.cc
@@ -15,6 +15,9 @@
 constexpr double kSlowFactor = 4;
 constexpr millis kLeastSlow(250);
 constexpr double kColdFactor = 2;  // a cold instance takes twice as long
+// Nodes of the instance's own zone hear of a trial at once, others only with
+// the next report to their zone: they leave the first go to those.
+constexpr millis kOtherZoneTrial(300);
 // Idempotent requests are tried on a suspect as soon as its hold ends, since a
 // failure can be repeated elsewhere. A service that has none uses its least
 // urgent requests, then any.
@@ -85,15 +88,17 @@
              call.tried.end();
 }
 
-// One trial at a time: reports of the first reach the peers before most of
-// their own requests arrive.
+// A request that has failed once is not tried on a suspect again: two gray
+// instances would use up its attempts. One trial at a time: reports of the
+// first reach the peers of the zone before most of their own requests arrive.
 bool instance_board::MayTry(const tracked& one, const board_call& call,
                             int least_urgent, millis now) const {
-  if (one.own + one.others > 0) {
+  if (one.own + one.others > 0 || !call.first) {
     return false;
   }
-  const millis overdue = one.health.TrialOverdue(now);
-  if (call.idempotent) {
+  const millis start = one.entry.zone == zone_ ? millis(0) : kOtherZoneTrial;
+  const millis overdue = one.health.TrialOverdue(now) - start;
+  if (call.repeatable) {
     return overdue >= millis(0);
   }
   return overdue >= kAnyTrial ||
--- a/balance/instance_board.h
+++ b/balance/instance_board.h
@@ -23,8 +23,9 @@
 /// What the choice of an instance depends on.
 struct board_call {
   std::string_view service;
-  bool idempotent = false;
-  int priority = 0;  ///< 0 is the most urgent.
+  bool repeatable = false;  ///< A failure can be repeated elsewhere.
+  bool first = true;        ///< No attempt has failed yet.
+  int priority = 0;         ///< 0 is the most urgent.
   millis time_left;  ///< Until the caller's deadline or the route's timeout.
   std::span<const instance_key> tried = {};  ///< Not to be chosen again.
 };
--- a/balance/instance_health.cc
+++ b/balance/instance_health.cc
@@ -9,6 +9,8 @@
 // A sound instance that failed once must be tried again within two seconds,
 // or too few instances of a small service stay in use.
 constexpr millis kFailureHold(1'000);
+// Gray spells last several seconds, so a failed trial waits for longer.
+constexpr millis kFailedTrialHold(1'800);
 constexpr millis kSlowHold(700);
 constexpr millis kShedHold(250);
 // An instance that fails half of its requests passes two in a row a quarter
@@ -31,7 +33,7 @@
     case attempt_outcome::kFailed:
     case attempt_outcome::kBroken:
     case attempt_outcome::kUnreachable:
-      return Suspect(outcome, kFailureHold, kFailureClearing, now);
+      return Suspect(outcome, FailureHold(now), kFailureClearing, now);
     case attempt_outcome::kSlow:
       return Suspect(outcome, kSlowHold, kSlowClearing, now);
     case attempt_outcome::kShed:
@@ -43,6 +45,12 @@
   return false;
 }
 
+// A failure while the hold lasts is of a request that was out already.
+millis instance_health::FailureHold(millis now) const {
+  const bool trial = suspect() && now >= hold_until_;
+  return trial ? kFailedTrialHold : kFailureHold;
+}
+
 bool instance_health::Suspect(attempt_outcome outcome, millis hold,
                               int clearing, millis now) {
   const bool fresh = clearing_left_ == 0;
--- a/balance/instance_health.h
+++ b/balance/instance_health.h
@@ -27,6 +27,7 @@
   [[nodiscard]] attempt_outcome cause() const { return cause_; }
 
  private:
+  [[nodiscard]] millis FailureHold(millis now) const;
   bool Suspect(attempt_outcome outcome, millis hold, int clearing, millis now);
 
   int clearing_left_ = 0;  ///< Successes in a row that clear it.
--- a/front/caller_call.cc
+++ b/front/caller_call.cc
@@ -109,7 +109,8 @@
 board_call call_run::Wanted(millis now) const {
   board_call wanted;
   wanted.service = service_;
-  wanted.idempotent = route_->idempotent;
+  wanted.first = tried_.empty();
+  wanted.repeatable = route_->idempotent && route_->max_attempts > 1;
   wanted.priority = route_->priority;
   wanted.time_left = until_ - now;
   wanted.tried = tried_;
--- a/tests/balance/board_test.cc
+++ b/tests/balance/board_test.cc
@@ -66,6 +66,52 @@
   }
 }
 
+TEST_CASE("gray instance: a failed trial waits longer than a first failure") {
+  board_fleet fleet(2);
+  fleet.SetInstances(Entries(6, "ledger"), kStart);
+  const instance_key sick = KeyOf("ledger-2");
+  const auto basis_at = [&](millis now) {
+    return fleet[1].Choose(Call("ledger", true), now).basis;
+  };
+  FailOnce(fleet, 0, sick, kStart);
+  // Out already when the first one failed: no trial.
+  FailOnce(fleet, 1, sick, kStart + millis(100));
+  const millis second = kStart + millis(1'101);
+  CHECK(basis_at(second) == choice_basis::kTrial);
+  FailOnce(fleet, 1, sick, second);
+  CHECK(basis_at(second + millis(1'500)) == choice_basis::kRegular);
+  // Sound again two seconds after its own failure.
+  CHECK(basis_at(second + millis(2'000)) == choice_basis::kTrial);
+}
+
+TEST_CASE("many gray instances: a repeat is not sent to another suspect") {
+  board_fleet fleet(1);
+  fleet.SetInstances(Entries(6, "ledger"), kStart);
+  for (int i = 0; i < 3; ++i) {
+    FailOnce(fleet, 0, KeyOf("ledger-" + std::to_string(i)), kStart);
+  }
+  const millis later = kStart + millis(1'500);
+  board_call repeat = Call("ledger", true);
+  CHECK(fleet[0].Choose(repeat, later).basis == choice_basis::kTrial);
+  repeat.first = false;
+  CHECK(fleet[0].Choose(repeat, later).basis == choice_basis::kRegular);
+}
+
+TEST_CASE("gray instance: its own zone tries it first") {
+  instance_board near("a", 1);
+  instance_board far("b", 2);
+  for (instance_board* board : {&near, &far}) {
+    board->SetInstances(Entries(6, "ledger"), kStart);
+    board->Begin(KeyOf("ledger-2"));
+    board->End(KeyOf("ledger-2"), attempt_outcome::kFailed, millis(9), kStart);
+  }
+  const millis due = kStart + millis(1'010);
+  CHECK(near.Choose(Call("ledger", true), due).basis == choice_basis::kTrial);
+  CHECK(far.Choose(Call("ledger", true), due).basis == choice_basis::kRegular);
+  CHECK(far.Choose(Call("ledger", true), due + millis(300)).basis ==
+        choice_basis::kTrial);
+}
+
 TEST_CASE(
     "gray instance of a service without idempotent requests: tried "
     "within two seconds, by the least urgent first") {
--- a/tests/balance/board_world.h
+++ b/tests/balance/board_world.h
@@ -31,11 +31,11 @@
   return entries;
 }
 
-inline board_call Call(std::string_view service, bool idempotent = false,
+inline board_call Call(std::string_view service, bool repeatable = false,
                        int priority = 0) {
   board_call call;
   call.service = service;
-  call.idempotent = idempotent;
+  call.repeatable = repeatable;
   call.priority = priority;
   call.time_left = millis(1'200);
   return call;
