--- a/tests/balance/board_test.cc
+++ b/tests/balance/board_test.cc
@@ -264,6 +264,24 @@
   CHECK(fleet[0].suspects() == 0);
 }
 
+// Found on a hunted day of Tamega. An instance that fails at once is never
+// busy, so as the last resort it draws the work of all that is merely busy.
+TEST_CASE("most instances gray: busy sound ones go before those that fail",
+          "[.known-red]") {
+  constexpr int kBusy = 16;  // about 1.1 s of the 1.2 s that are left
+  board_fleet fleet(1);
+  fleet.SetInstances(Entries(6, "ledger"), kStart);
+  for (int i = 0; i < 4; ++i) {
+    FailOnce(fleet, 0, KeyOf("ledger-" + std::to_string(i)), kStart);
+  }
+  for (int i = 0; i < kBusy; ++i) {
+    fleet[0].Begin(KeyOf("ledger-4"));
+    fleet[0].Begin(KeyOf("ledger-5"));
+  }
+  CHECK(fleet[0].Choose(Call("ledger"), kStart).basis ==
+        choice_basis::kRegular);
+}
+
 TEST_CASE("no instance: refused at once") {
   board_fleet fleet(1);
   CHECK(fleet[0].Choose(Call("ledger"), kStart).basis ==
