--- a/balance/instance_board.cc
+++ b/balance/instance_board.cc
@@ -152,6 +152,7 @@
       kTimeShare - kShareStep * std::min(call.priority, kShareSteps);
   const double time_left = static_cast<double>(call.time_left.count()) * share;
   std::vector<tracked*> good;
+  std::vector<tracked*> busy;
   std::vector<tracked*> doubtful;
   double shortest = 0;
   for (tracked* one : found->second) {
@@ -169,6 +170,8 @@
     shortest = shortest == 0 ? expected : std::min(shortest, expected);
     if (expected <= time_left || one->own + one->others < one->entry.slots) {
       good.push_back(one);
+    } else if (expected <= static_cast<double>(call.time_left.count())) {
+      busy.push_back(one);
     }
   }
   if (tracked* best = BestOf(good, now)) {
@@ -177,6 +180,11 @@
   std::erase_if(doubtful, [](const tracked* one) {
     return one->own + one->others >= one->entry.slots;
   });
+  // A suspect that fails at once is never busy, so it would draw all of this:
+  // sound instances that can just answer in time go first.
+  if (!doubtful.empty() && !busy.empty()) {
+    return Chosen(*BestOf(busy, now), choice_basis::kRegular, mean, now);
+  }
   if (tracked* best = BestOf(doubtful, now)) {
     return Chosen(*best, choice_basis::kLastResort, mean, now);
   }
