Queues bounded by the objective; routes with little time are served

Cause: an instance's queue was allowed to grow until a request's own time left was used up. The mean that the queue is multiplied with had the waiting in it, so it rose with the queue.

Ruled out: a late or reverted configuration; suspects that are better than others (their last outcomes say nothing: 24 and 12 of 100 succeed whatever came before).

Change: one limit for all routes of a service, 0.8 of its mean objective; the mean is of the work alone; every third request that is not urgent enough takes the limit of the most urgent, so none starves; repeats wait at sound instances; instances that shed are asked before those that fail. The line of an attempt has expected_ms and time_left_ms.

--- a/balance/instance_board.cc
+++ b/balance/instance_board.cc
@@ -24,10 +24,16 @@
 constexpr millis kLeastUrgentTrial(400);
 constexpr millis kAnyTrial(800);
 // Part of the time left that the expected answer may take, by priority: the
-// least urgent requests are refused first.
+// least urgent requests are refused first. Longer queues do not raise what a
+// service that is short of room serves; they only make all of it late.
 constexpr double kTimeShare = 0.9;
 constexpr double kShareStep = 0.1;
+// Work times spread widely: with a mean at the objective, nearly half is late.
+constexpr double kObjectiveShare = 0.8;
 constexpr int kShareSteps = 3;
+// Every third of those takes the most urgent ones' part, or a service that is
+// short of room for long would starve them.
+constexpr int kPassedOver = 2;
 constexpr millis kUnreachableHold(500);
 constexpr int kUnreachableSteps = 3;  // doubled this often
 // An address that another instance has taken stays taken; the entry goes soon.
@@ -38,6 +44,15 @@
 
 }  // namespace
 
+// One limit for all routes of a service: the most urgent may have the shortest
+// objective, and must not be refused before the others.
+void instance_board::service_measure::NoteObjective(millis objective) {
+  const auto wanted = static_cast<double>(objective.count());
+  objective_ms = objective_ms == 0
+                     ? wanted
+                     : objective_ms + kMeanWeight * (wanted - objective_ms);
+}
+
 void instance_board::SetInstances(std::span<const instance_entry> entries,
                                   millis now) {
   for (auto& [key, one] : instances_) {
@@ -73,12 +88,16 @@
   return (one.own + one.others + cold) / std::max(1, one.entry.slots);
 }
 
-double instance_board::ExpectedMs(const tracked& one, double mean,
-                                  millis now) const {
+// Instances serve in order, so all that exceeds the slots is waited for.
+double instance_board::Rounds(const tracked& one) {
   const int slots = std::max(1, one.entry.slots);
   const int ahead = std::max(0, one.own + one.others + 1 - slots);
+  return 1 + static_cast<double>(ahead) / slots;
+}
+
+double instance_board::ExpectedMs(const tracked& one, double mean, millis now) {
   const double work = now < one.warm_at ? mean * kColdFactor : mean;
-  return work * (1 + static_cast<double>(ahead) / slots);
+  return work * Rounds(one);
 }
 
 bool instance_board::IsOpen(const tracked& one, const board_call& call,
@@ -133,6 +152,8 @@
   choice.instance = one.entry;
   choice.key = one.key;
   choice.in_flight = one.own + one.others;
+  choice.rounds = Rounds(one);
+  choice.expected = millis(static_cast<int64_t>(ExpectedMs(one, mean, now)));
   choice.slow_after = std::max(
       kLeastSlow,
       millis(static_cast<int64_t>(kSlowFactor * ExpectedMs(one, mean, now))));
@@ -148,11 +169,16 @@
   service_measure& measure = measures_[found->first];
   measure.least_urgent = std::max(measure.least_urgent, call.priority);
   const double mean = measure.mean_ms > 0 ? measure.mean_ms : kFirstMeanMs;
+  measure.NoteObjective(call.objective);
   const double share =
       kTimeShare - kShareStep * std::min(call.priority, kShareSteps);
-  const double time_left = static_cast<double>(call.time_left.count()) * share;
+  const auto time_left = static_cast<double>(call.time_left.count());
+  const double soon =
+      std::min(time_left, measure.objective_ms * kObjectiveShare);
   std::vector<tracked*> good;
-  std::vector<tracked*> busy;
+  std::vector<tracked*> urgent_only;
+  std::vector<tracked*> late;
+  std::vector<tracked*> shedding;
   std::vector<tracked*> doubtful;
   double shortest = 0;
   for (tracked* one : found->second) {
@@ -163,33 +189,45 @@
       if (MayTry(*one, call, measure.least_urgent, now)) {
         return Chosen(*one, choice_basis::kTrial, mean, now);
       }
-      doubtful.push_back(one);
+      if (one->own + one->others < one->entry.slots) {
+        const bool shed = one->health.cause() == attempt_outcome::kShed;
+        (shed ? shedding : doubtful).push_back(one);
+      }
       continue;
     }
     const double expected = ExpectedMs(*one, mean, now);
     shortest = shortest == 0 ? expected : std::min(shortest, expected);
-    if (expected <= time_left || one->own + one->others < one->entry.slots) {
+    const bool has_room = one->own + one->others < one->entry.slots;
+    if (has_room || expected <= soon * share) {
       good.push_back(one);
-    } else if (expected <= static_cast<double>(call.time_left.count())) {
-      busy.push_back(one);
+    } else if (!call.first && expected <= time_left) {
+      late.push_back(one);
+    } else if (expected <= soon * kTimeShare) {
+      urgent_only.push_back(one);
     }
   }
   if (tracked* best = BestOf(good, now)) {
     return Chosen(*best, choice_basis::kRegular, mean, now);
   }
-  std::erase_if(doubtful, [](const tracked* one) {
-    return one->own + one->others >= one->entry.slots;
-  });
-  // A suspect that fails at once is never busy, so it would draw all of this:
-  // sound instances that can just answer in time go first.
-  if (!doubtful.empty() && !busy.empty()) {
-    return Chosen(*BestOf(busy, now), choice_basis::kRegular, mean, now);
+  if (!urgent_only.empty() && ++measure.passed_over > kPassedOver) {
+    measure.passed_over = 0;
+    return Chosen(*BestOf(urgent_only, now), choice_basis::kRegular, mean, now);
+  }
+  // What an instance sheds has not run and goes elsewhere, so nothing is lost.
+  if (tracked* best = BestOf(shedding, now)) {
+    return Chosen(*best, choice_basis::kLastResort, mean, now);
+  }
+  // A caller that has waited for an attempt already is served late rather than
+  // not at all; two gray instances would use up its attempts.
+  if (tracked* best = BestOf(late, now)) {
+    return Chosen(*best, choice_basis::kRegular, mean, now);
   }
   if (tracked* best = BestOf(doubtful, now)) {
     return Chosen(*best, choice_basis::kLastResort, mean, now);
   }
   none.basis = choice_basis::kOverload;
-  none.retry_after = millis(static_cast<int64_t>(std::max(mean, shortest)));
+  none.retry_after =
+      millis(static_cast<int64_t>(std::max(mean, shortest - soon)));
   return none;
 }
 
@@ -202,7 +240,7 @@
 }
 
 void instance_board::End(instance_key instance, attempt_outcome outcome,
-                         millis latency, millis now) {
+                         millis work, millis now) {
   const auto found = instances_.find(instance);
   if (found == instances_.end()) {
     return;
@@ -216,8 +254,8 @@
   } else if (outcome == attempt_outcome::kOk) {
     one.unreachable_times = 0;
   }
-  Record(instance, outcome, latency, now);
-  Learn(one, outcome, latency, "", now);
+  Record(instance, outcome, work, now);
+  Learn(one, outcome, work, "", now);
 }
 
 void instance_board::NoteEarly(instance_key instance, attempt_outcome outcome,
@@ -230,22 +268,21 @@
 }
 
 void instance_board::Record(instance_key instance, attempt_outcome outcome,
-                            millis latency, millis now) {
+                            millis work, millis now) {
   if (outcome == attempt_outcome::kUnknown) {
     return;
   }
-  recent_.push_back({{++next_outcome_, instance, outcome, latency}, now});
+  recent_.push_back({{++next_outcome_, instance, outcome, work}, now});
   while (recent_.size() > kMaxRecent) {
     recent_.pop_front();
   }
 }
 
-void instance_board::Learn(tracked& one, attempt_outcome outcome,
-                           millis latency, const std::string& told_by,
-                           millis now) {
+void instance_board::Learn(tracked& one, attempt_outcome outcome, millis work,
+                           const std::string& told_by, millis now) {
   if (outcome == attempt_outcome::kOk && now >= one.warm_at) {
     double& mean = measures_[one.entry.service].mean_ms;
-    const auto seen = static_cast<double>(latency.count());
+    const auto seen = static_cast<double>(work.count());
     mean = mean == 0
                ? std::max(1.0, seen)
                : mean + kMeanWeight *
@@ -302,7 +339,7 @@
     if (entry.number > state.outcome) {
       state.outcome = entry.number;
       if (found != instances_.end()) {
-        Learn(found->second, entry.outcome, entry.latency, peer, now);
+        Learn(found->second, entry.outcome, entry.work, peer, now);
       }
     }
   }
--- a/balance/instance_board.h
+++ b/balance/instance_board.h
@@ -27,6 +27,7 @@
   bool first = true;        ///< No attempt has failed yet.
   int priority = 0;         ///< 0 is the most urgent.
   millis time_left;  ///< Until the caller's deadline or the route's timeout.
+  millis objective;  ///< An answer within it has its full value.
   std::span<const instance_key> tried = {};  ///< Not to be chosen again.
 };
 
@@ -36,7 +37,7 @@
   kTrial,       ///< A suspect, to learn whether it has recovered.
   kLastResort,  ///< A suspect, since no healthy one can serve in time.
   kNoInstance,  ///< The service has no instance to use.
-  kOverload,    ///< None can answer within the time left.
+  kOverload,    ///< None can answer soon enough.
 };
 
 template <>
@@ -51,6 +52,8 @@
   instance_entry instance;  ///< Of the first three bases.
   instance_key key = 0;
   int in_flight = 0;   ///< Of the whole fleet there, before this attempt.
+  double rounds = 1;   ///< Of work until the answer, with those that wait.
+  millis expected;     ///< Until the answer.
   millis slow_after;   ///< An attempt out for longer is suspicious.
   millis retry_after;  ///< Of a refusal: when capacity is expected.
 };
@@ -81,8 +84,8 @@
 
   /// An attempt begins at the instance.
   void Begin(instance_key instance);
-  /// The attempt ended.
-  void End(instance_key instance, attempt_outcome outcome, millis latency,
+  /// The attempt ended. `work` is how long the instance took for it alone.
+  void End(instance_key instance, attempt_outcome outcome, millis work,
            millis now);
   /// Notes an outcome of an attempt that goes on.
   void NoteEarly(instance_key instance, attempt_outcome outcome, millis now);
@@ -124,8 +127,12 @@
     std::vector<load_entry> load;
   };
   struct service_measure {
-    double mean_ms = 0;  ///< Moving mean of the latency of good answers.
+    void NoteObjective(millis objective);
+
+    double mean_ms = 0;       ///< Moving mean of the work of good answers.
+    double objective_ms = 0;  ///< Moving mean over the requests.
     int least_urgent = 0;
+    int passed_over = 0;  ///< Requests since the last one that was not.
   };
   struct recent_outcome {
     outcome_entry entry;
@@ -133,8 +140,9 @@
   };
 
   [[nodiscard]] double Load(const tracked& one, millis now) const;
-  [[nodiscard]] double ExpectedMs(const tracked& one, double mean,
-                                  millis now) const;
+  [[nodiscard]] static double Rounds(const tracked& one);
+  [[nodiscard]] static double ExpectedMs(const tracked& one, double mean,
+                                         millis now);
   [[nodiscard]] bool MayTry(const tracked& one, const board_call& call,
                             int least_urgent, millis now) const;
   [[nodiscard]] bool IsOpen(const tracked& one, const board_call& call,
@@ -142,9 +150,9 @@
   [[nodiscard]] board_choice Chosen(const tracked& one, choice_basis basis,
                                     double mean, millis now) const;
   tracked* BestOf(const std::vector<tracked*>& from, millis now);
-  void Learn(tracked& one, attempt_outcome outcome, millis latency,
+  void Learn(tracked& one, attempt_outcome outcome, millis work,
              const std::string& told_by, millis now);
-  void Record(instance_key instance, attempt_outcome outcome, millis latency,
+  void Record(instance_key instance, attempt_outcome outcome, millis work,
               millis now);
   void Withdraw(const peer_state& peer);
 
--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr size_t kTagBytes = 4;
-constexpr int64_t kMaxLatencyMs = 60'000;
+constexpr int64_t kMaxWorkMs = 60'000;
 constexpr int kByteBits = 8;
 constexpr uint8_t kLeavingFlag = 1;
 constexpr uint8_t kReadsFlag = 2;
@@ -92,8 +92,8 @@
   for (const outcome_entry& entry : report.outcomes) {
     Put(body, entry.instance);
     Put(body, static_cast<uint8_t>(entry.outcome));
-    Put(body, static_cast<uint16_t>(std::clamp<int64_t>(entry.latency.count(),
-                                                        0, kMaxLatencyMs)));
+    Put(body, static_cast<uint16_t>(
+                  std::clamp<int64_t>(entry.work.count(), 0, kMaxWorkMs)));
   }
   Put(body, TagOf(body, fleet_key));
   return body;
@@ -140,7 +140,7 @@
       throw codec_error("load report has an unknown outcome");
     }
     entry.outcome = static_cast<attempt_outcome>(outcome);
-    entry.latency = millis(fields.Take<uint16_t>());
+    entry.work = millis(fields.Take<uint16_t>());
     report.outcomes.push_back(entry);
   }
   return report;
--- a/balance/load_report.h
+++ b/balance/load_report.h
@@ -33,7 +33,7 @@
   uint32_t number = 0;  ///< Rises by one with each outcome of the node.
   instance_key instance = 0;
   attempt_outcome outcome = attempt_outcome::kOk;
-  millis latency;  ///< At most a minute.
+  millis work;  ///< Of the instance for it alone, at most a minute.
 
   bool operator==(const outcome_entry&) const = default;
 };
--- a/front/caller_call.cc
+++ b/front/caller_call.cc
@@ -34,11 +34,18 @@
 /// One attempt at one instance.
 struct attempt_record {
   board_choice choice;
+  millis time_left;  ///< When it was chosen.
   exchange_result result;
   answer_ruling ruling;
   millis latency;
 };
 
+// Behind others an answer takes their time, too.
+millis WorkOf(const attempt_record& attempt) {
+  return millis(static_cast<int64_t>(
+      static_cast<double>(attempt.latency.count()) / attempt.choice.rounds));
+}
+
 class call_run {
  public:
   call_run(front_node& here, http_request request, caller_call& call)
@@ -123,6 +130,7 @@
   wanted.repeatable = route_->idempotent && route_->max_attempts > 1;
   wanted.priority = route_->priority;
   wanted.time_left = until_ - now;
+  wanted.objective = route_->latency_objective;
   wanted.tried = tried_;
   return wanted;
 }
@@ -172,7 +180,7 @@
     attempt.ruling.outcome = attempt_outcome::kUnknown;
   }
   const attempt_outcome outcome = attempt.ruling.outcome;
-  here_.board.End(key, outcome, attempt.latency, boot_clock::Now());
+  here_.board.End(key, outcome, WorkOf(attempt), boot_clock::Now());
   here_.LogHealthChanges();
   const bool well =
       outcome == attempt_outcome::kOk || outcome == attempt_outcome::kUnknown;
@@ -258,6 +266,8 @@
                   {"instance", attempt.choice.instance.id},
                   {"basis", ToName(attempt.choice.basis)},
                   {"in_flight_there", attempt.choice.in_flight},
+                  {"expected_ms", attempt.choice.expected.count()},
+                  {"time_left_ms", attempt.time_left.count()},
                   {"ended", ToName(attempt.result.end.ended)},
                   {"kept_connection", attempt.result.reused},
                   {"status", answered ? attempt.result.answer.result_int() : 0},
@@ -341,6 +351,7 @@
   for (;;) {
     const millis now = boot_clock::Now();
     attempt_record next;
+    next.time_left = until_ - now;
     next.choice = here_.board.Choose(Wanted(now), now);
     if (next.choice.basis == choice_basis::kNoInstance ||
         next.choice.basis == choice_basis::kOverload) {
--- a/tests/balance/board_world.h
+++ b/tests/balance/board_world.h
@@ -38,6 +38,7 @@
   call.repeatable = repeatable;
   call.priority = priority;
   call.time_left = millis(1'200);
+  call.objective = millis(600);
   return call;
 }
 
