Good answers of sound instances are not reported

Cause: each report carried up to eight outcomes of the last half second, 7 bytes each; nearly all were good answers of instances in no doubt, which change nothing at a peer.

Ruled out: the mean work time needs them (each node has its own answers).

Change: a good answer is reported only of a suspect.

--- a/balance/instance_board.cc
+++ b/balance/instance_board.cc
@@ -254,7 +254,10 @@
   } else if (outcome == attempt_outcome::kOk) {
     one.unreachable_times = 0;
   }
-  Record(instance, outcome, work, now);
+  // A good answer of an instance that is not in doubt changes nothing.
+  if (outcome != attempt_outcome::kOk || one.health.suspect()) {
+    Record(instance, outcome, work, now);
+  }
   Learn(one, outcome, work, "", now);
 }
 
--- a/tests/balance/board_test.cc
+++ b/tests/balance/board_test.cc
@@ -295,6 +295,18 @@
   CHECK(fleet[0].Choose(Call("ledger"), kStart).instance.id == "ledger-3");
 }
 
+// Reports to other zones are paid for by the byte.
+TEST_CASE("calm day: good answers of sound instances are not reported") {
+  board_fleet fleet(2);
+  fleet.SetInstances(Entries(2, "ledger"), kStart);
+  Succeed(fleet, 0, KeyOf("ledger-0"), kStart);
+  CHECK(fleet[0].MakeReport(kStart).outcomes.empty());
+  FailOnce(fleet, 0, KeyOf("ledger-0"), kStart);
+  CHECK(fleet[0].MakeReport(kStart).outcomes.size() == 1);
+  Succeed(fleet, 0, KeyOf("ledger-0"), kStart);
+  CHECK(fleet[0].MakeReport(kStart).outcomes.size() == 2);
+}
+
 TEST_CASE("no instance: refused at once") {
   board_fleet fleet(1);
   CHECK(fleet[0].Choose(Call("ledger"), kStart).basis ==
