Reports to other zones go through one node of each zone

Cause: every node sent each routine report to every node of the other zones itself, so bytes between zones grew with the square of the nodes.

Change: a report that is due within 250 ms goes to one node of each other zone, drawn anew each time, with the key of its maker; that node passes the same bytes on in its zone. Failures and beats still go to every node directly.

--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -15,6 +15,7 @@
 constexpr int kByteBits = 8;
 constexpr uint8_t kLeavingFlag = 1;
 constexpr uint8_t kReadsFlag = 2;
+constexpr uint8_t kRelayFlag = 4;
 
 // Big-endian numbers of a fixed width keep a report of a few entries below
 // a hundred bytes; every byte crosses zones thousands of times a second.
@@ -66,6 +67,10 @@
   return static_cast<uint16_t>(Hash64(zone));
 }
 
+uint32_t NodeKeyOf(std::string_view address) {
+  return static_cast<uint32_t>(Hash64(address)) | 1;
+}
+
 std::string Encode(const load_report& report, std::string_view fleet_key) {
   std::string body;
   Put(body, report.incarnation);
@@ -74,7 +79,11 @@
   Put(body, report.instances_offset);
   Put(body, report.zone);
   Put(body, static_cast<uint8_t>((report.leaving ? kLeavingFlag : 0) |
-                                 (report.reads_store ? kReadsFlag : 0)));
+                                 (report.reads_store ? kReadsFlag : 0) |
+                                 (report.relay_for != 0 ? kRelayFlag : 0)));
+  if (report.relay_for != 0) {
+    Put(body, report.relay_for);
+  }
   Put(body, static_cast<uint8_t>(report.load.size()));
   for (const load_entry& entry : report.load) {
     Put(body, entry.instance);
@@ -119,6 +128,9 @@
   const auto flags = fields.Take<uint8_t>();
   report.leaving = (flags & kLeavingFlag) != 0;
   report.reads_store = (flags & kReadsFlag) != 0;
+  if ((flags & kRelayFlag) != 0) {
+    report.relay_for = fields.Take<uint32_t>();
+  }
   report.load.resize(fields.Take<uint8_t>());
   for (load_entry& entry : report.load) {
     entry.instance = fields.Take<uint32_t>();
--- a/balance/load_report.h
+++ b/balance/load_report.h
@@ -20,6 +20,9 @@
 /// Returns the key of an availability zone.
 uint16_t ZoneKeyOf(std::string_view zone);
 
+/// Returns the key of a node by the address that its reports come from.
+uint32_t NodeKeyOf(std::string_view address);
+
 /// The requests that one node has in flight at an instance.
 struct load_entry {
   instance_key instance = 0;
@@ -56,8 +59,9 @@
   uint32_t config_version = 0;
   uint32_t instances_offset = 0;  ///< Of the entries that the sender knows.
   uint16_t zone = 0;              ///< Key of the sender's availability zone.
-  bool leaving = false;           ///< The process is shutting down.
-  bool reads_store = false;       ///< Its last read of the store succeeded.
+  uint32_t relay_for = 0;  ///< Node key of the sender; 0: not to be passed on.
+  bool leaving = false;    ///< The process is shutting down.
+  bool reads_store = false;  ///< Its last read of the store succeeded.
   std::vector<load_entry> load;
   std::vector<retry_usage> usage;
   std::vector<outcome_entry> outcomes;  ///< Numbered without a gap.
--- a/front/peer_link.cc
+++ b/front/peer_link.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "balance/reader_choice.h"
+#include "balance/relay_choice.h"
 #include "core/error.h"
 #include "core/hash.h"
 #include "proxy/executor.h"
@@ -32,6 +33,10 @@
 constexpr millis kNearDelay(50);
 constexpr millis kFarDelay(250);  // a typical request's time
 
+std::string TextOf(const udp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
 }  // namespace
 
 peer_link::peer_link(std::shared_ptr<front_node> here)
@@ -42,7 +47,8 @@
                         here_->settings.peer_port)),
       near_{asio::steady_timer(here_->context)},
       far_{asio::steady_timer(here_->context)},
-      zone_(ZoneKeyOf(here_->settings.zone)) {
+      zone_(ZoneKeyOf(here_->settings.zone)),
+      own_key_(NodeKeyOf(TextOf(socket_.local_endpoint()))) {
   socket_.non_blocking(true);
 }
 
@@ -66,7 +72,15 @@
   if (failure || at == socket_.local_endpoint()) {
     return;
   }
-  peers_.try_emplace(at);
+  PeerAt(at);
+}
+
+peer_link::peer& peer_link::PeerAt(const udp::endpoint& at) {
+  peer& known = peers_[at];
+  if (known.key == 0) {
+    known.key = NodeKeyOf(TextOf(at));
+  }
+  return known;
 }
 
 void peer_link::SayLeaving() { Send(scope::kAll); }
@@ -135,14 +149,63 @@
   if (const auto routes = here_->routes.Load()) {
     report.config_version = static_cast<uint32_t>(routes->config().version);
   }
+  if (to == scope::kOtherZones) {
+    report.relay_for = own_key_;
+  }
   const std::string datagram = Encode(report, here_->settings.fleet_key);
+  for (const udp::endpoint& at : Receivers(to, now)) {
+    SendTo(at, datagram);
+  }
+}
+
+void peer_link::SendTo(const udp::endpoint& to, std::string_view datagram) {
+  error_code lost;
+  // A report that cannot be sent now is repeated by the next one.
+  socket_.send_to(asio::buffer(datagram), to, 0, lost);
+}
+
+// Bytes between zones are paid for: each zone gets a routine report once, and
+// passes it on itself. Beats go to every node, so liveness and the budget's
+// figures depend on no other.
+std::vector<udp::endpoint> peer_link::Receivers(scope to, millis now) {
+  std::vector<udp::endpoint> receivers;
+  std::vector<uint16_t> zones;
   for (const auto& [at, known] : peers_) {
     if (Includes(to, known, now)) {
-      error_code lost;
-      // A report that cannot be sent now is repeated by the next one.
-      socket_.send_to(asio::buffer(datagram), at, 0, lost);
+      receivers.push_back(at);
+      zones.push_back(known.zone);
     }
   }
+  if (to != scope::kOtherZones) {
+    return receivers;
+  }
+  std::vector<udp::endpoint> relays;
+  for (const size_t chosen : ChooseRelays(zones, zone_, here_->random)) {
+    relays.push_back(receivers[chosen]);
+  }
+  return relays;
+}
+
+// Who made the report. One that came from its maker and is to be passed on
+// goes to the other nodes of this zone; one that a relay passed on does not.
+std::optional<udp::endpoint> peer_link::SenderOf(const udp::endpoint& from,
+                                                 const load_report& report,
+                                                 std::string_view datagram) {
+  if (report.relay_for == 0) {
+    return from;
+  }
+  if (report.relay_for == PeerAt(from).key) {
+    for (const udp::endpoint& at : Receivers(scope::kZone, boot_clock::Now())) {
+      SendTo(at, datagram);
+    }
+    return from;
+  }
+  for (const auto& [at, known] : peers_) {
+    if (known.key == report.relay_for) {
+      return at;
+    }
+  }
+  return std::nullopt;  // not heard of yet; its beat brings it
 }
 
 awaitable<void> peer_link::Beat() {
@@ -226,19 +289,24 @@
   try {
     const load_report report =
         DecodeLoadReport(datagram, here_->settings.fleet_key);
+    const auto sender = SenderOf(from, report, datagram);
+    if (!sender) {
+      return;
+    }
     const millis now = boot_clock::Now();
-    peer& known = peers_[from];
+    peer& known = PeerAt(*sender);
     known.heard = now;
     known.zone = report.zone;
     known.leaving = report.leaving;
     known.reads_store = report.reads_store;
-    here_->board.Apply(from.address().to_string(), report, now);
+    const std::string name = sender->address().to_string();
+    here_->board.Apply(name, report, now);
     if (!report.usage.empty()) {
-      here_->retries.Apply(from.address().to_string(), report.usage, now);
+      here_->retries.Apply(name, report.usage, now);
     }
     here_->LogHealthChanges();
     if (IsAhead(report)) {
-      on_ahead_(from.address().to_string());
+      on_ahead_(name);
     }
   } catch (const codec_error& bad) {
     here_->counters
--- a/front/peer_link.h
+++ b/front/peer_link.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "front/front_node.h"
 #include "platform/awaitable.h"
@@ -31,13 +33,14 @@
   /// Who gets a report.
   enum class scope {
     kZone,        ///< Live nodes of the own availability zone.
-    kOtherZones,  ///< Live nodes of the others.
+    kOtherZones,  ///< Live nodes of the others, each zone through one.
     kLive,        ///< All live nodes.
     kAll,         ///< Silent ones as well.
   };
   struct peer {
     millis heard = millis(-1'000'000);
     uint16_t zone = 0;
+    uint32_t key = 0;  ///< In reports that are passed on.
     bool leaving = false;
     bool reads_store = false;
   };
@@ -52,6 +55,14 @@
   void Changed(load_change change);
   void SendSoon(delayed_report& report, scope to, millis delay);
   void Send(scope to);
+  peer& PeerAt(const boost::asio::ip::udp::endpoint& at);
+  void SendTo(const boost::asio::ip::udp::endpoint& to,
+              std::string_view datagram);
+  [[nodiscard]] std::vector<boost::asio::ip::udp::endpoint> Receivers(
+      scope to, millis now);
+  std::optional<boost::asio::ip::udp::endpoint> SenderOf(
+      const boost::asio::ip::udp::endpoint& from, const load_report& report,
+      std::string_view datagram);
   [[nodiscard]] bool Includes(scope to, const peer& known, millis now) const;
   void Take(const boost::asio::ip::udp::endpoint& from,
             std::string_view datagram);
@@ -65,6 +76,7 @@
   delayed_report near_;
   delayed_report far_;
   const uint16_t zone_;
+  const uint32_t own_key_;
   uint32_t number_ = 0;
   std::map<boost::asio::ip::udp::endpoint, peer> peers_;
   std::function<void(const std::string&)> on_ahead_;
--- a/tests/balance/load_report_test.cc
+++ b/tests/balance/load_report_test.cc
@@ -28,6 +28,9 @@
 TEST_CASE("a report survives its datagram") {
   CHECK(DecodeLoadReport(Encode(Sample(), kKey), kKey) == Sample());
   CHECK(DecodeLoadReport(Encode({}, kKey), kKey) == load_report{});
+  load_report relayed = Sample();
+  relayed.relay_for = NodeKeyOf("10.0.0.1:7000");
+  CHECK(DecodeLoadReport(Encode(relayed, kKey), kKey) == relayed);
 }
 
 TEST_CASE("a report of a few entries is small") {
--- /dev/null
+++ b/tests/front/peer_test.cc
@@ -0,0 +1,123 @@
+#include <algorithm>
+#include <boost/asio/ip/udp.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "front/peer_link.h"
+#include "front_world.h"
+
+namespace peridotarch {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+constexpr const char* kOwnAddress = "127.0.0.11";
+
+std::string TextOf(const udp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+// Another node, as far as its reports go.
+class far_peer {
+ public:
+  far_peer(asio::io_context& context, const char* address, std::string zone)
+      : zone_(std::move(zone)),
+        socket_(context, {asio::ip::make_address(address), 0}) {
+    socket_.non_blocking(true);
+  }
+
+  [[nodiscard]] uint32_t key() const {
+    return NodeKeyOf(TextOf(socket_.local_endpoint()));
+  }
+
+  std::string Say(const udp::endpoint& to, int in_flight, uint32_t relay_for) {
+    load_report report;
+    report.incarnation = 1;
+    report.number = ++number_;
+    report.zone = ZoneKeyOf(zone_);
+    report.relay_for = relay_for;
+    report.load = {{KeyOf("i-1"), static_cast<uint8_t>(in_flight)}};
+    return Pass(to, Encode(report, ""));
+  }
+  std::string Pass(const udp::endpoint& to, const std::string& datagram) {
+    socket_.send_to(asio::buffer(datagram), to);
+    return datagram;
+  }
+
+  // How often a datagram has arrived.
+  int64_t Got(const std::string& datagram) {
+    std::string buffer(4096, '\0');
+    boost::system::error_code failure;
+    for (;;) {
+      const size_t size = socket_.receive(asio::buffer(buffer), 0, failure);
+      if (failure) {
+        return std::count(got_.begin(), got_.end(), datagram);
+      }
+      got_.push_back(buffer.substr(0, size));
+    }
+  }
+
+ private:
+  const std::string zone_;
+  udp::socket socket_;
+  std::vector<std::string> got_;
+  uint32_t number_ = 0;
+};
+
+uint16_t FreePort(asio::io_context& context) {
+  const udp::socket probe(context, {asio::ip::make_address(kOwnAddress), 0});
+  return probe.local_endpoint().port();
+}
+
+TEST_CASE("reports of another zone: the first to get one passes it on, once") {
+  front_world world;
+  node_settings settings;
+  settings.zone = "a";
+  settings.callers = {kOwnAddress, 1};
+  settings.peer_port = FreePort(world.context);
+  const udp::endpoint own(asio::ip::make_address(kOwnAddress),
+                          settings.peer_port);
+  const auto here = std::make_shared<front_node>(world.context, settings, 1);
+  const auto link = std::make_shared<peer_link>(here);
+  instance_entry entry;
+  entry.id = "i-1";
+  entry.service = "s";
+  entry.zone = "b";
+  here->board.SetInstances(std::vector{entry}, boot_clock::Now());
+  const auto in_flight = [&here] {
+    board_call call;
+    call.service = "s";
+    call.time_left = millis(60'000);
+    call.objective = millis(60'000);
+    return here->board.Choose(call, boot_clock::Now()).in_flight;
+  };
+  far_peer near(world.context, "127.0.0.12", "a");
+  far_peer far(world.context, "127.0.0.13", "b");
+  far_peer other(world.context, "127.0.0.14", "b");
+  link->Start([](const std::string&) {});
+  near.Say(own, 0, 0);
+  other.Say(own, 0, 0);
+  far.Say(own, 1, 0);
+  world.RunUntil([&] { return in_flight() == 1; });
+  REQUIRE(in_flight() == 1);
+
+  const std::string direct = far.Say(own, 2, far.key());
+  world.RunUntil([&] { return near.Got(direct) > 0; });
+  CHECK(in_flight() == 2);
+  CHECK(near.Got(direct) == 1);
+  CHECK(other.Got(direct) == 0);
+
+  // What `near` was given first: it counts as the word of its maker.
+  const std::string passed =
+      far.Say({asio::ip::make_address("127.0.0.12"), 9}, 3, far.key());
+  near.Pass(own, passed);
+  world.RunUntil([&] { return in_flight() == 3; });
+  CHECK(in_flight() == 3);
+  CHECK(near.Got(passed) == 0);
+  CHECK(other.Got(passed) == 0);
+}
+
+}  // namespace
+}  // namespace peridotarch
