Instances of the own zone that have room go first

Ruled out: that an emptier instance answers sooner.

Change: what has a free slot in the own zone goes before all others; beyond that the load decides as before.

--- a/balance/instance_board.cc
+++ b/balance/instance_board.cc
@@ -1,6 +1,7 @@
 #include "balance/instance_board.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace peridotarch {
@@ -124,22 +125,21 @@
          (call.priority >= least_urgent && overdue >= kLeastUrgentTrial);
 }
 
+// Below its slots an instance answers as soon as an empty one, so whatever has
+// room in the own zone goes first: bytes between zones are paid for. Equal ones
+// are drawn at random, since all nodes see the same board and would otherwise
+// pick the same instance.
 instance_board::tracked* instance_board::BestOf(
     const std::vector<tracked*>& from, millis now) {
   tracked* best = nullptr;
-  double best_load = 0;
-  uint64_t best_draw = 0;
+  std::tuple<bool, double, bool, uint64_t> best_rank;
   for (tracked* one : from) {
     const double load = Load(*one, now);
-    // Equal loads: the own zone first, then at random, since all nodes see
-    // the same board and would otherwise pick the same instance.
-    const uint64_t zone_bit = one->entry.zone == zone_ ? 1ULL << 63 : 0;
-    const uint64_t draw = (random_() >> 1) | zone_bit;
-    if (best == nullptr || load < best_load ||
-        (load == best_load && draw > best_draw)) {
+    const bool far = one->entry.zone != zone_;
+    const std::tuple rank(far || load >= 1, load, far, random_());
+    if (best == nullptr || rank < best_rank) {
       best = one;
-      best_load = load;
-      best_draw = draw;
+      best_rank = rank;
     }
   }
   return best;
--- a/tests/balance/board_test.cc
+++ b/tests/balance/board_test.cc
@@ -295,6 +295,19 @@
   CHECK(fleet[0].Choose(Call("ledger"), kStart).instance.id == "ledger-3");
 }
 
+TEST_CASE("calm day: work stays in its zone while there is room") {
+  instance_board board("a", 1);
+  std::vector<instance_entry> entries = {Entry("near", "ledger", "a"),
+                                         Entry("far", "ledger", "b")};
+  board.SetInstances(entries, kStart);
+  for (int i = 0; i < 3; ++i) {
+    const board_choice choice = board.Choose(Call("ledger"), kStart);
+    CHECK(choice.instance.id == "near");
+    board.Begin(choice.key);
+  }
+  CHECK(board.Choose(Call("ledger"), kStart).instance.id == "far");
+}
+
 // Reports to other zones are paid for by the byte.
 TEST_CASE("calm day: good answers of sound instances are not reported") {
   board_fleet fleet(2);
