The choice of an instance reads in steps

Cause: Choose had grown to seventy lines that sorted the instances, applied the limits and decided. Now LimitsOf, Sort and Choose do one each; the groups of candidates have names.

--- a/balance/instance_board.cc
+++ b/balance/instance_board.cc
@@ -160,74 +160,93 @@
   return choice;
 }
 
-board_choice instance_board::Choose(const board_call& call, millis now) {
-  const auto found = by_service_.find(call.service);
-  board_choice none;
-  if (found == by_service_.end()) {
-    return none;
-  }
-  service_measure& measure = measures_[found->first];
-  measure.least_urgent = std::max(measure.least_urgent, call.priority);
-  const double mean = measure.mean_ms > 0 ? measure.mean_ms : kFirstMeanMs;
-  measure.NoteObjective(call.objective);
-  const double share =
-      kTimeShare - kShareStep * std::min(call.priority, kShareSteps);
-  const auto time_left = static_cast<double>(call.time_left.count());
+instance_board::call_limits instance_board::LimitsOf(
+    const service_measure& measure, const board_call& call) {
+  call_limits limits;
+  limits.mean = measure.mean_ms > 0 ? measure.mean_ms : kFirstMeanMs;
+  limits.possible = static_cast<double>(call.time_left.count());
   const double soon =
-      std::min(time_left, measure.objective_ms * kObjectiveShare);
-  std::vector<tracked*> good;
-  std::vector<tracked*> urgent_only;
-  std::vector<tracked*> late;
-  std::vector<tracked*> shedding;
-  std::vector<tracked*> doubtful;
-  double shortest = 0;
-  for (tracked* one : found->second) {
+      std::min(limits.possible, measure.objective_ms * kObjectiveShare);
+  const int steps = std::min(call.priority, kShareSteps);
+  limits.in_time = soon * (kTimeShare - kShareStep * steps);
+  limits.most_urgent = soon * kTimeShare;
+  return limits;
+}
+
+instance_board::candidates instance_board::Sort(
+    const std::vector<tracked*>& members, const board_call& call,
+    const call_limits& limits, int least_urgent, millis now) const {
+  candidates sorted;
+  for (tracked* one : members) {
     if (!IsOpen(*one, call, now)) {
       continue;
     }
+    const bool has_room = one->own + one->others < one->entry.slots;
     if (one->health.suspect()) {
-      if (MayTry(*one, call, measure.least_urgent, now)) {
-        return Chosen(*one, choice_basis::kTrial, mean, now);
+      if (MayTry(*one, call, least_urgent, now)) {
+        sorted.trial = one;
+        return sorted;
       }
-      if (one->own + one->others < one->entry.slots) {
+      if (has_room) {
         const bool shed = one->health.cause() == attempt_outcome::kShed;
-        (shed ? shedding : doubtful).push_back(one);
+        (shed ? sorted.shedding : sorted.doubtful).push_back(one);
       }
       continue;
     }
-    const double expected = ExpectedMs(*one, mean, now);
-    shortest = shortest == 0 ? expected : std::min(shortest, expected);
-    const bool has_room = one->own + one->others < one->entry.slots;
-    if (has_room || expected <= soon * share) {
-      good.push_back(one);
-    } else if (!call.first && expected <= time_left) {
-      late.push_back(one);
-    } else if (expected <= soon * kTimeShare) {
-      urgent_only.push_back(one);
+    const double expected = ExpectedMs(*one, limits.mean, now);
+    sorted.shortest =
+        sorted.shortest == 0 ? expected : std::min(sorted.shortest, expected);
+    if (has_room || expected <= limits.in_time) {
+      sorted.good.push_back(one);
+    } else if (!call.first && expected <= limits.possible) {
+      sorted.late.push_back(one);
+    } else if (expected <= limits.most_urgent) {
+      sorted.urgent_only.push_back(one);
     }
   }
-  if (tracked* best = BestOf(good, now)) {
-    return Chosen(*best, choice_basis::kRegular, mean, now);
+  return sorted;
+}
+
+// What an instance sheds has not run and goes elsewhere, so those that shed go
+// before those that fail. A caller that has waited for an attempt already is
+// served late rather than not at all; two gray instances would use up its
+// attempts.
+board_choice instance_board::Choose(const board_call& call, millis now) {
+  const auto found = by_service_.find(call.service);
+  board_choice none;
+  if (found == by_service_.end()) {
+    return none;
+  }
+  service_measure& measure = measures_[found->first];
+  measure.least_urgent = std::max(measure.least_urgent, call.priority);
+  measure.NoteObjective(call.objective);
+  const call_limits limits = LimitsOf(measure, call);
+  const candidates sorted =
+      Sort(found->second, call, limits, measure.least_urgent, now);
+  if (sorted.trial != nullptr) {
+    return Chosen(*sorted.trial, choice_basis::kTrial, limits.mean, now);
+  }
+  if (tracked* best = BestOf(sorted.good, now)) {
+    return Chosen(*best, choice_basis::kRegular, limits.mean, now);
   }
-  if (!urgent_only.empty() && ++measure.passed_over > kPassedOver) {
+  if (!sorted.urgent_only.empty() && ++measure.passed_over > kPassedOver) {
     measure.passed_over = 0;
-    return Chosen(*BestOf(urgent_only, now), choice_basis::kRegular, mean, now);
+    tracked* best = BestOf(sorted.urgent_only, now);
+    return Chosen(*best, choice_basis::kRegular, limits.mean, now);
   }
-  // What an instance sheds has not run and goes elsewhere, so nothing is lost.
-  if (tracked* best = BestOf(shedding, now)) {
-    return Chosen(*best, choice_basis::kLastResort, mean, now);
+  if (tracked* best = BestOf(sorted.shedding, now)) {
+    return Chosen(*best, choice_basis::kLastResort, limits.mean, now);
   }
-  // A caller that has waited for an attempt already is served late rather than
-  // not at all; two gray instances would use up its attempts.
-  if (tracked* best = BestOf(late, now)) {
-    return Chosen(*best, choice_basis::kRegular, mean, now);
+  if (tracked* best = BestOf(sorted.late, now)) {
+    return Chosen(*best, choice_basis::kRegular, limits.mean, now);
   }
-  if (tracked* best = BestOf(doubtful, now)) {
-    return Chosen(*best, choice_basis::kLastResort, mean, now);
+  if (tracked* best = BestOf(sorted.doubtful, now)) {
+    return Chosen(*best, choice_basis::kLastResort, limits.mean, now);
   }
   none.basis = choice_basis::kOverload;
+  const double until_room = sorted.shortest - limits.most_urgent;
   none.retry_after =
-      millis(static_cast<int64_t>(std::max(mean, shortest - soon)));
+      millis(static_cast<int64_t>(std::max(limits.mean, until_room)));
   return none;
 }
 
--- a/balance/instance_board.h
+++ b/balance/instance_board.h
@@ -139,6 +139,30 @@
     millis at;
   };
 
+  /// How long an answer may take, in ms.
+  struct call_limits {
+    double mean = 0;         ///< Of the work alone.
+    double in_time = 0;      ///< For a request of this priority.
+    double most_urgent = 0;  ///< For one of the highest priority.
+    double possible = 0;     ///< Until the time left is used up.
+  };
+  /// The instances of a service that a request may go to.
+  struct candidates {
+    tracked* trial = nullptr;           ///< Goes before all others.
+    std::vector<tracked*> good;         ///< Answer in time.
+    std::vector<tracked*> urgent_only;  ///< For more urgent requests only.
+    std::vector<tracked*> late;         ///< Still answer, for repeats.
+    std::vector<tracked*> shedding;     ///< Suspects with room that shed.
+    std::vector<tracked*> doubtful;     ///< Other suspects with room.
+    double shortest = 0;                ///< Least time of a sound one, in ms.
+  };
+
+  static call_limits LimitsOf(const service_measure& measure,
+                              const board_call& call);
+  [[nodiscard]] candidates Sort(const std::vector<tracked*>& members,
+                                const board_call& call,
+                                const call_limits& limits, int least_urgent,
+                                millis now) const;
   [[nodiscard]] double Load(const tracked& one, millis now) const;
   [[nodiscard]] static double Rounds(const tracked& one);
   [[nodiscard]] static double ExpectedMs(const tracked& one, double mean,
