Nodes greet each other at once

Cause: a node reports failures and load to peers that it has heard lately.

Ruled out: late knowledge of who is in the fleet; the records of the starts before are read at once.

Change: a peer that is learnt of, or heard again after silence, gets a report at once. Test: "all nodes restarted: they hear of each other before the next beat" (two datagrams that came after a second before).

--- a/front/peer_link.cc
+++ b/front/peer_link.cc
@@ -72,7 +72,10 @@
   if (failure || at == socket_.local_endpoint()) {
     return;
   }
-  PeerAt(at);
+  if (!peers_.contains(at)) {
+    PeerAt(at);
+    Greet(at);
+  }
 }
 
 peer_link::peer& peer_link::PeerAt(const udp::endpoint& at) {
@@ -83,6 +86,14 @@
   return known;
 }
 
+// After a restart of many nodes each would otherwise judge and count alone
+// until the next beat.
+void peer_link::Greet(const udp::endpoint& at) {
+  ++number_;
+  SendTo(at, Encode(MakeReport(scope::kAll, boot_clock::Now()),
+                    here_->settings.fleet_key));
+}
+
 void peer_link::SayLeaving() { Send(scope::kAll); }
 
 // Work stays in its zone while loads are equal, so the own zone hears of every
@@ -134,11 +145,10 @@
   return true;
 }
 
-void peer_link::Send(scope to) {
-  const millis now = boot_clock::Now();
+load_report peer_link::MakeReport(scope to, millis now) const {
   load_report report = here_->board.MakeReport(now);
   report.incarnation = here_->incarnation;
-  report.number = ++number_;
+  report.number = number_;
   report.zone = zone_;
   report.leaving = here_->draining;
   report.reads_store = here_->reads_store;
@@ -152,7 +162,14 @@
   if (to == scope::kOtherZones) {
     report.relay_for = own_key_;
   }
-  const std::string datagram = Encode(report, here_->settings.fleet_key);
+  return report;
+}
+
+void peer_link::Send(scope to) {
+  const millis now = boot_clock::Now();
+  ++number_;
+  const std::string datagram =
+      Encode(MakeReport(to, now), here_->settings.fleet_key);
   for (const udp::endpoint& at : Receivers(to, now)) {
     SendTo(at, datagram);
   }
@@ -295,6 +312,7 @@
     }
     const millis now = boot_clock::Now();
     peer& known = PeerAt(*sender);
+    const bool was_silent = now - known.heard >= kAlive;
     known.heard = now;
     known.zone = report.zone;
     known.leaving = report.leaving;
@@ -305,6 +323,9 @@
       here_->retries.Apply(name, report.usage, now);
     }
     here_->LogHealthChanges();
+    if (was_silent && !report.leaving) {
+      Greet(*sender);
+    }
     if (IsAhead(report)) {
       on_ahead_(name);
     }
--- a/front/peer_link.h
+++ b/front/peer_link.h
@@ -54,7 +54,10 @@
   awaitable<void> Beat();
   void Changed(load_change change);
   void SendSoon(delayed_report& report, scope to, millis delay);
+  [[nodiscard]] load_report MakeReport(scope to, millis now) const;
   void Send(scope to);
+  /// Reports to a node that has just been learnt of or heard again.
+  void Greet(const boost::asio::ip::udp::endpoint& at);
   peer& PeerAt(const boost::asio::ip::udp::endpoint& at);
   void SendTo(const boost::asio::ip::udp::endpoint& to,
               std::string_view datagram);
--- a/tests/front/peer_test.cc
+++ b/tests/front/peer_test.cc
@@ -28,6 +28,10 @@
     socket_.non_blocking(true);
   }
 
+  [[nodiscard]] host_port at() const {
+    const auto own = socket_.local_endpoint();
+    return {own.address().to_string(), own.port()};
+  }
   [[nodiscard]] uint32_t key() const {
     return NodeKeyOf(TextOf(socket_.local_endpoint()));
   }
@@ -48,18 +52,28 @@
 
   // How often a datagram has arrived.
   int64_t Got(const std::string& datagram) {
+    Take();
+    return std::count(got_.begin(), got_.end(), datagram);
+  }
+  // How many datagrams have arrived.
+  size_t Got() {
+    Take();
+    return got_.size();
+  }
+
+ private:
+  void Take() {
     std::string buffer(4096, '\0');
     boost::system::error_code failure;
     for (;;) {
       const size_t size = socket_.receive(asio::buffer(buffer), 0, failure);
       if (failure) {
-        return std::count(got_.begin(), got_.end(), datagram);
+        return;
       }
       got_.push_back(buffer.substr(0, size));
     }
   }
 
- private:
   const std::string zone_;
   udp::socket socket_;
   std::vector<std::string> got_;
@@ -71,16 +85,29 @@
   return probe.local_endpoint().port();
 }
 
-TEST_CASE("reports of another zone: the first to get one passes it on, once") {
+// A node of zone "a" with its link to the others.
+struct linked_node {
+  linked_node() {
+    node_settings settings;
+    settings.zone = "a";
+    settings.callers = {kOwnAddress, 1};
+    settings.peer_port = FreePort(world.context);
+    at = {asio::ip::make_address(kOwnAddress), settings.peer_port};
+    here = std::make_shared<front_node>(world.context, settings, 1);
+    link = std::make_shared<peer_link>(here);
+  }
+
   front_world world;
-  node_settings settings;
-  settings.zone = "a";
-  settings.callers = {kOwnAddress, 1};
-  settings.peer_port = FreePort(world.context);
-  const udp::endpoint own(asio::ip::make_address(kOwnAddress),
-                          settings.peer_port);
-  const auto here = std::make_shared<front_node>(world.context, settings, 1);
-  const auto link = std::make_shared<peer_link>(here);
+  udp::endpoint at;
+  std::shared_ptr<front_node> here;
+  std::shared_ptr<peer_link> link;
+};
+
+TEST_CASE("reports of another zone: the first to get one passes it on, once") {
+  linked_node node;
+  front_world& world = node.world;
+  const udp::endpoint own = node.at;
+  const auto here = node.here;
   instance_entry entry;
   entry.id = "i-1";
   entry.service = "s";
@@ -96,7 +123,7 @@
   far_peer near(world.context, "127.0.0.12", "a");
   far_peer far(world.context, "127.0.0.13", "b");
   far_peer other(world.context, "127.0.0.14", "b");
-  link->Start([](const std::string&) {});
+  node.link->Start([](const std::string&) {});
   near.Say(own, 0, 0);
   other.Say(own, 0, 0);
   far.Say(own, 1, 0);
@@ -119,5 +146,22 @@
   CHECK(other.Got(passed) == 0);
 }
 
+// Found on trouble-1 of Tamega: after a restart of all nodes each judged the
+// instances alone for a second, and found every gray one itself.
+TEST_CASE("all nodes restarted: they hear of each other before the next beat") {
+  linked_node node;
+  far_peer known(node.world.context, "127.0.0.12", "a");
+  far_peer unknown(node.world.context, "127.0.0.13", "b");
+  node.link->Start([](const std::string&) {});
+  node.world.context.run_for(std::chrono::milliseconds(20));
+  const millis begun = boot_clock::Now();
+  node.link->AddPeer(known.at());
+  unknown.Say(node.at, 0, 0);
+  node.world.RunUntil([&] { return known.Got() > 0 && unknown.Got() > 0; });
+  CHECK(known.Got() == 1);
+  CHECK(unknown.Got() == 1);
+  CHECK(boot_clock::Now() - begun < millis(800));  // a beat comes after 1 s
+}
+
 }  // namespace
 }  // namespace peridotarch
