One datagram, one mean, one text of an address

Found in a reading of the whole change: every report to the own zone built two lists first, of which only reports to other zones need one; the maker of a relayed report was searched among all peers for each datagram; number and encoding stood in two places; the expected time was computed twice for a choice, the sum of requests in flight written six times and the moving mean twice; the text of an address was written again beside ToText of platform/endpoint.

No functional change.

--- a/balance/instance_board.cc
+++ b/balance/instance_board.cc
@@ -43,15 +43,21 @@
 constexpr millis kRepeatOutcomes(500);  // two reports to other zones
 constexpr int kMaxReported = 255;
 
+void AddToMean(double& mean, double seen) {
+  mean += kMeanWeight * (seen - mean);
+}
+
 }  // namespace
 
 // One limit for all routes of a service: the most urgent may have the shortest
 // objective, and must not be refused before the others.
 void instance_board::service_measure::NoteObjective(millis objective) {
   const auto wanted = static_cast<double>(objective.count());
-  objective_ms = objective_ms == 0
-                     ? wanted
-                     : objective_ms + kMeanWeight * (wanted - objective_ms);
+  if (objective_ms == 0) {
+    objective_ms = wanted;
+  } else {
+    AddToMean(objective_ms, wanted);
+  }
 }
 
 void instance_board::SetInstances(std::span<const instance_entry> entries,
@@ -86,13 +92,13 @@
 
 double instance_board::Load(const tracked& one, millis now) const {
   const double cold = now < one.warm_at ? 1 : 0;
-  return (one.own + one.others + cold) / std::max(1, one.entry.slots);
+  return (one.InFlight() + cold) / std::max(1, one.entry.slots);
 }
 
 // Instances serve in order, so all that exceeds the slots is waited for.
 double instance_board::Rounds(const tracked& one) {
   const int slots = std::max(1, one.entry.slots);
-  const int ahead = std::max(0, one.own + one.others + 1 - slots);
+  const int ahead = std::max(0, one.InFlight() + 1 - slots);
   return 1 + static_cast<double>(ahead) / slots;
 }
 
@@ -113,7 +119,7 @@
 // first reach the peers of the zone before most of their own requests arrive.
 bool instance_board::MayTry(const tracked& one, const board_call& call,
                             int least_urgent, millis now) const {
-  if (one.own + one.others > 0 || !call.first) {
+  if (one.InFlight() > 0 || !call.first) {
     return false;
   }
   const millis start = one.entry.zone == zone_ ? millis(0) : kOtherZoneTrial;
@@ -151,12 +157,12 @@
   choice.basis = basis;
   choice.instance = one.entry;
   choice.key = one.key;
-  choice.in_flight = one.own + one.others;
+  choice.in_flight = one.InFlight();
   choice.rounds = Rounds(one);
-  choice.expected = millis(static_cast<int64_t>(ExpectedMs(one, mean, now)));
+  const double expected = ExpectedMs(one, mean, now);
+  choice.expected = millis(static_cast<int64_t>(expected));
   choice.slow_after = std::max(
-      kLeastSlow,
-      millis(static_cast<int64_t>(kSlowFactor * ExpectedMs(one, mean, now))));
+      kLeastSlow, millis(static_cast<int64_t>(kSlowFactor * expected)));
   return choice;
 }
 
@@ -181,13 +187,12 @@
     if (!IsOpen(*one, call, now)) {
       continue;
     }
-    const bool has_room = one->own + one->others < one->entry.slots;
     if (one->health.suspect()) {
       if (MayTry(*one, call, least_urgent, now)) {
         sorted.trial = one;
         return sorted;
       }
-      if (has_room) {
+      if (one->HasRoom()) {
         const bool shed = one->health.cause() == attempt_outcome::kShed;
         (shed ? sorted.shedding : sorted.doubtful).push_back(one);
       }
@@ -196,7 +201,7 @@
     const double expected = ExpectedMs(*one, limits.mean, now);
     sorted.shortest =
         sorted.shortest == 0 ? expected : std::min(sorted.shortest, expected);
-    if (has_room || expected <= limits.in_time) {
+    if (one->HasRoom() || expected <= limits.in_time) {
       sorted.good.push_back(one);
     } else if (!call.first && expected <= limits.possible) {
       sorted.late.push_back(one);
@@ -305,10 +310,11 @@
   if (outcome == attempt_outcome::kOk && now >= one.warm_at) {
     double& mean = measures_[one.entry.service].mean_ms;
     const auto seen = static_cast<double>(work.count());
-    mean = mean == 0
-               ? std::max(1.0, seen)
-               : mean + kMeanWeight *
-                            (std::min(seen, mean * kMeanMostFactor) - mean);
+    if (mean == 0) {
+      mean = std::max(1.0, seen);
+    } else {
+      AddToMean(mean, std::min(seen, mean * kMeanMostFactor));
+    }
   }
   if (outcome == attempt_outcome::kMoved) {
     one.unreachable_until = now + kMovedHold;
--- a/balance/instance_board.h
+++ b/balance/instance_board.h
@@ -109,6 +109,10 @@
 
  private:
   struct tracked {
+    /// Returns the requests of the whole fleet there.
+    [[nodiscard]] int InFlight() const { return own + others; }
+    [[nodiscard]] bool HasRoom() const { return InFlight() < entry.slots; }
+
     instance_entry entry;
     instance_key key = 0;
     bool listed = false;
--- a/front/peer_link.cc
+++ b/front/peer_link.cc
@@ -15,6 +15,7 @@
 #include "balance/relay_choice.h"
 #include "core/error.h"
 #include "core/hash.h"
+#include "platform/endpoint.h"
 #include "proxy/executor.h"
 
 namespace peridotarch {
@@ -33,8 +34,8 @@
 constexpr millis kNearDelay(50);
 constexpr millis kFarDelay(250);  // a typical request's time
 
-std::string TextOf(const udp::endpoint& at) {
-  return at.address().to_string() + ":" + std::to_string(at.port());
+uint32_t KeyAt(const udp::endpoint& at) {
+  return NodeKeyOf(ToText({at.address().to_string(), at.port()}));
 }
 
 }  // namespace
@@ -48,7 +49,7 @@
       near_{asio::steady_timer(here_->context)},
       far_{asio::steady_timer(here_->context)},
       zone_(ZoneKeyOf(here_->settings.zone)),
-      own_key_(NodeKeyOf(TextOf(socket_.local_endpoint()))) {
+      own_key_(KeyAt(socket_.local_endpoint())) {
   socket_.non_blocking(true);
 }
 
@@ -81,7 +82,8 @@
 peer_link::peer& peer_link::PeerAt(const udp::endpoint& at) {
   peer& known = peers_[at];
   if (known.key == 0) {
-    known.key = NodeKeyOf(TextOf(at));
+    known.key = KeyAt(at);
+    by_key_.emplace(known.key, at);
   }
   return known;
 }
@@ -89,9 +91,7 @@
 // After a restart of many nodes each would otherwise judge and count alone
 // until the next beat.
 void peer_link::Greet(const udp::endpoint& at) {
-  ++number_;
-  SendTo(at, Encode(MakeReport(scope::kAll, boot_clock::Now()),
-                    here_->settings.fleet_key));
+  SendTo(at, NextDatagram(scope::kAll, boot_clock::Now()));
 }
 
 void peer_link::SayLeaving() { Send(scope::kAll); }
@@ -145,10 +145,10 @@
   return true;
 }
 
-load_report peer_link::MakeReport(scope to, millis now) const {
+std::string peer_link::NextDatagram(scope to, millis now) {
   load_report report = here_->board.MakeReport(now);
   report.incarnation = here_->incarnation;
-  report.number = number_;
+  report.number = ++number_;
   report.zone = zone_;
   report.leaving = here_->draining;
   report.reads_store = here_->reads_store;
@@ -162,16 +162,24 @@
   if (to == scope::kOtherZones) {
     report.relay_for = own_key_;
   }
-  return report;
+  return Encode(report, here_->settings.fleet_key);
 }
 
 void peer_link::Send(scope to) {
   const millis now = boot_clock::Now();
-  ++number_;
-  const std::string datagram =
-      Encode(MakeReport(to, now), here_->settings.fleet_key);
-  for (const udp::endpoint& at : Receivers(to, now)) {
-    SendTo(at, datagram);
+  const std::string datagram = NextDatagram(to, now);
+  if (to == scope::kOtherZones) {
+    SendToRelays(datagram, now);
+  } else {
+    SendToEach(to, datagram, now);
+  }
+}
+
+void peer_link::SendToEach(scope to, std::string_view datagram, millis now) {
+  for (const auto& [at, known] : peers_) {
+    if (Includes(to, known, now)) {
+      SendTo(at, datagram);
+    }
   }
 }
 
@@ -184,23 +192,18 @@
 // Bytes between zones are paid for: each zone gets a routine report once, and
 // passes it on itself. Beats go to every node, so liveness and the budget's
 // figures depend on no other.
-std::vector<udp::endpoint> peer_link::Receivers(scope to, millis now) {
-  std::vector<udp::endpoint> receivers;
+void peer_link::SendToRelays(std::string_view datagram, millis now) {
+  std::vector<const udp::endpoint*> others;
   std::vector<uint16_t> zones;
   for (const auto& [at, known] : peers_) {
-    if (Includes(to, known, now)) {
-      receivers.push_back(at);
+    if (Includes(scope::kOtherZones, known, now)) {
+      others.push_back(&at);
       zones.push_back(known.zone);
     }
   }
-  if (to != scope::kOtherZones) {
-    return receivers;
-  }
-  std::vector<udp::endpoint> relays;
   for (const size_t chosen : ChooseRelays(zones, zone_, here_->random)) {
-    relays.push_back(receivers[chosen]);
+    SendTo(*others[chosen], datagram);
   }
-  return relays;
 }
 
 // Who made the report. One that came from its maker and is to be passed on
@@ -212,17 +215,14 @@
     return from;
   }
   if (report.relay_for == PeerAt(from).key) {
-    for (const udp::endpoint& at : Receivers(scope::kZone, boot_clock::Now())) {
-      SendTo(at, datagram);
-    }
+    SendToEach(scope::kZone, datagram, boot_clock::Now());
     return from;
   }
-  for (const auto& [at, known] : peers_) {
-    if (known.key == report.relay_for) {
-      return at;
-    }
+  const auto maker = by_key_.find(report.relay_for);
+  if (maker == by_key_.end()) {
+    return std::nullopt;  // not heard of yet; its beat brings it
   }
-  return std::nullopt;  // not heard of yet; its beat brings it
+  return maker->second;
 }
 
 awaitable<void> peer_link::Beat() {
--- a/front/peer_link.h
+++ b/front/peer_link.h
@@ -9,7 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <unordered_map>
 
 #include "front/front_node.h"
 #include "platform/awaitable.h"
@@ -54,15 +54,15 @@
   awaitable<void> Beat();
   void Changed(load_change change);
   void SendSoon(delayed_report& report, scope to, millis delay);
-  [[nodiscard]] load_report MakeReport(scope to, millis now) const;
+  std::string NextDatagram(scope to, millis now);
   void Send(scope to);
   /// Reports to a node that has just been learnt of or heard again.
   void Greet(const boost::asio::ip::udp::endpoint& at);
   peer& PeerAt(const boost::asio::ip::udp::endpoint& at);
   void SendTo(const boost::asio::ip::udp::endpoint& to,
               std::string_view datagram);
-  [[nodiscard]] std::vector<boost::asio::ip::udp::endpoint> Receivers(
-      scope to, millis now);
+  void SendToEach(scope to, std::string_view datagram, millis now);
+  void SendToRelays(std::string_view datagram, millis now);
   std::optional<boost::asio::ip::udp::endpoint> SenderOf(
       const boost::asio::ip::udp::endpoint& from, const load_report& report,
       std::string_view datagram);
@@ -82,6 +82,7 @@
   const uint32_t own_key_;
   uint32_t number_ = 0;
   std::map<boost::asio::ip::udp::endpoint, peer> peers_;
+  std::unordered_map<uint32_t, boost::asio::ip::udp::endpoint> by_key_;
   std::function<void(const std::string&)> on_ahead_;
 };
 
--- a/proxy/listener.cc
+++ b/proxy/listener.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "core/error.h"
+#include "platform/endpoint.h"
 
 namespace peridotarch {
 
@@ -20,8 +21,8 @@
     acceptor.bind(local);
     acceptor.listen(backlog);
   } catch (const boost::system::system_error& failure) {
-    throw settings_error("cannot listen on " + at.host + ":" +
-                         std::to_string(at.port) + ": " + failure.what());
+    throw settings_error("cannot listen on " + ToText({at.host, at.port}) +
+                         ": " + failure.what());
   }
   return acceptor;
 }
--- a/tests/front/peer_test.cc
+++ b/tests/front/peer_test.cc
@@ -6,6 +6,7 @@
 
 #include "front/peer_link.h"
 #include "front_world.h"
+#include "platform/endpoint.h"
 
 namespace peridotarch {
 namespace {
@@ -15,10 +16,6 @@
 
 constexpr const char* kOwnAddress = "127.0.0.11";
 
-std::string TextOf(const udp::endpoint& at) {
-  return at.address().to_string() + ":" + std::to_string(at.port());
-}
-
 // Another node, as far as its reports go.
 class far_peer {
  public:
@@ -33,7 +30,7 @@
     return {own.address().to_string(), own.port()};
   }
   [[nodiscard]] uint32_t key() const {
-    return NodeKeyOf(TextOf(socket_.local_endpoint()));
+    return NodeKeyOf(ToText({at().host, at().port}));
   }
 
   std::string Say(const udp::endpoint& to, int in_flight, uint32_t relay_for) {
