Pipelined requests are served at the same time

A caller that left was noticed by peeking a byte, which bytes of a next request hide. A connection that was closed with unread bytes was reset, which can overtake the last answer.

Change: the session reads ahead, up to eight requests, and serves up to four at once where all are idempotent; answers are written in order. A request that must not run twice waits for the answers before it, and those behind it wait for its answer. Deadlines count from when the bytes were received. The reading coroutine notices a caller that leaves. The last answer is delivered before the socket is closed. Idle callers are closed by the heartbeat instead of a timer on each read.

--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -55,7 +55,8 @@
       : node_(node),
         request_(std::move(request)),
         state_(state),
-        started_at_(boot_clock::Now()) {}
+        started_at_(state.arrived_at),
+        waited_(boot_clock::Now() - state.arrived_at) {}
 
   awaitable<http_response> Run();
 
@@ -80,6 +81,7 @@
   const http_request request_;
   caller_request& state_;
   const millis started_at_;
+  const millis waited_;  ///< For earlier requests on the connection.
   caller_terms terms_;
   std::shared_ptr<const route_index> routes_;
   const host_route* route_ = nullptr;
@@ -291,6 +293,8 @@
                   {"in_flight_there", attempt.choice.in_flight},
                   {"expected_ms", attempt.choice.expected.count()},
                   {"time_left_ms", attempt.time_left.count()},
+                  {"queued_behind", state_.queued_behind},
+                  {"waited_ms", waited_.count()},
                   {"ended", ToName(attempt.result.summary.ended)},
                   {"kept_connection", attempt.result.reused},
                   {"status", answered ? attempt.result.answer.result_int() : 0},
@@ -328,6 +332,8 @@
                              {"may_have_run", possible_runs_ > 0},
                              {"sent", instances_sent_to_},
                              {"caller_left", state_.caller_left},
+                             {"queued_behind", state_.queued_behind},
+                             {"waited_ms", waited_.count()},
                              {"retry_after_ms", retry_after.count()},
                              {"instances", node_.selector.size()},
                              {"suspects", node_.selector.suspects()},
--- a/front/caller_request.h
+++ b/front/caller_request.h
@@ -10,11 +10,12 @@
 
 namespace peridotarch {
 
-/// State of one caller's request while it is served. The connection's
-/// session shares it with the coroutine that serves the request.
+/// State of one caller's request, which the connection's session shares with
+/// the coroutine that serves the request.
 struct caller_request {
+  millis arrived_at;      ///< When its bytes had been received.
+  int queued_behind = 0;  ///< Unanswered requests before it on its connection.
   bool caller_left = false;
-  bool finished = false;
   bool idempotent = false;
   std::shared_ptr<exchange_control> exchange;  ///< The attempt in progress.
 
--- a/front/caller_session.cc
+++ b/front/caller_session.cc
@@ -1,13 +1,14 @@
 #include "front/caller_session.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <boost/asio/ip/tcp.hpp>
-#include <cerrno>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "front/caller_request.h"
+#include "front/pipelined_request.h"
 #include "platform/call_wire.h"
 
 namespace peridotarch {
@@ -20,33 +21,38 @@
 // Added to the idle timeout that callers rely on.
 constexpr millis kIdleMargin(2'000);
 constexpr millis kBodyTimeout(15'000);
-
-// Returns whether the caller has closed or reset the connection. Bytes of the
-// next request do not count as a disconnect.
-bool HasDisconnected(int socket) {
-  char byte = 0;
-  const auto received = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received == 0 ||
-         (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
+// Limits of one connection: they bound its memory and the slots that one caller
+// takes from others.
+constexpr size_t kMaxQueued = 8;
+constexpr int kMaxServedAtOnce = 4;
 
 }  // namespace
 
 caller_session::caller_session(std::shared_ptr<front_node> node,
                                boost::beast::tcp_stream stream)
-    : node_(std::move(node)), session_(std::move(stream)) {
+    : node_(std::move(node)),
+      session_(std::move(stream)),
+      queue_changed_(node_->context,
+                     asio::steady_timer::time_point::max()),
+      idle_since_(boot_clock::Now()) {
   node_->sessions.insert(this);
 }
 
 caller_session::~caller_session() { node_->sessions.erase(this); }
 
 void caller_session::CloseIfIdle() {
-  if (is_idle_) {
-    is_closed_while_idle_ = true;
+  if (is_waiting_for_request_ && queue_.empty()) {
+    reads_more_ = false;
     session_.stream().close();
   }
 }
 
+void caller_session::CloseIfIdleTooLong(millis now) {
+  if (now - idle_since_ > MakeReadLimits().idle) {
+    CloseIfIdle();
+  }
+}
+
 read_limits caller_session::MakeReadLimits() const {
   read_limits limits;
   caller_limits configured;
@@ -61,68 +67,189 @@
   return limits;
 }
 
-void caller_session::WatchForDisconnect(
-    const std::shared_ptr<caller_request>& state) {
-  auto& socket = session_.stream().socket();
-  socket.async_wait(asio::ip::tcp::socket::wait_read,
-                    [state, &socket](const error_code& failure) {
-                      if (!failure && !state->finished &&
-                          HasDisconnected(socket.native_handle())) {
-                        state->OnCallerLeft();
-                      }
-                    });
+bool caller_session::IsIdempotent(const http_request& request) const {
+  const auto routes = node_->routes.Load();
+  const host_route* route =
+      routes ? routes->Find(request[boost::beast::http::field::host],
+                            request.target())
+             : nullptr;
+  return route != nullptr && route->idempotent;
 }
 
-awaitable<http_response> caller_session::HandleRequest(http_request request) {
-  const auto state = std::make_shared<caller_request>();
-  WatchForDisconnect(state);
-  http_response answer =
-      co_await ServeRequest(*node_, std::move(request), *state);
-  state->finished = true;
-  error_code ignored;
-  session_.stream().socket().cancel(ignored);
-  co_return answer;
+awaitable<void> caller_session::WaitForRoom() {
+  while (queue_.size() >= kMaxQueued) {
+    error_code changed;
+    co_await queue_changed_.async_wait(
+        asio::redirect_error(asio::use_awaitable, changed));
+  }
 }
 
-awaitable<void> caller_session::Serve() {
-  for (;;) {
-    is_idle_ = true;
-    const read_limits limits = MakeReadLimits();
-    read_outcome read = co_await session_.Read(limits);
-    is_idle_ = false;
-    // CloseIfIdle may run after the bytes of a request were read and before
+// Reads while requests are served, which also detects that the caller has
+// closed the connection. Behind a request that closes the connection, bytes are
+// dropped: they count as not read.
+awaitable<void> caller_session::ReadRequests() {
+  while (reads_more_) {
+    co_await WaitForRoom();
+    if (!reads_more_) {
+      break;
+    }
+    is_waiting_for_request_ = true;
+    const bool has_bytes = co_await session_.WaitForBytes();
+    is_waiting_for_request_ = false;
+    // The connection may have been closed after the bytes were read and before
     // this coroutine resumed. The caller can no longer be answered, so the
     // request is not sent to an instance.
-    if (is_closed_while_idle_) {
+    if (!reads_more_) {
       break;
     }
-    if (!read.request) {
-      if (read.refused) {
-        const reply_rule rule = ReplyFor(*read.refused);
-        node_->CountAnswer(*read.refused, millis(0));
-        http_response refusal = OwnAnswer(
-            rule.status, "", std::string(ToName(*read.refused)), millis(0));
-        co_await session_.Write(std::move(refusal), false);
-      }
-      break;
+    read_outcome read;
+    if (has_bytes) {
+      read = co_await session_.Read(MakeReadLimits());
     }
-    ++node_->in_flight;
-    const bool keep_alive = read.request->keep_alive();
-    http_response answer = co_await HandleRequest(std::move(*read.request));
-    const bool stays_open = co_await session_.Write(
-        std::move(answer), keep_alive && !node_->draining);
-    --node_->in_flight;
-    if (!stays_open) {
+    if (!reads_more_) {
       break;
     }
+    if (read.request) {
+      Enqueue(std::move(*read.request), read.arrived_at);
+    } else if (read.refused) {
+      EnqueueRefusal(*read.refused);
+    } else {
+      OnCallerLeft();
+      co_return;
+    }
+  }
+  while (!queue_.empty()) {
+    if (!co_await session_.DiscardBytes()) {
+      OnCallerLeft();
+      co_return;
+    }
+  }
+}
+
+// A node that is shutting down closes the connection after the answers to the
+// requests it has read, so it stops reading behind an unanswered request.
+void caller_session::Enqueue(http_request request, millis arrived_at) {
+  const auto one = std::make_shared<pipelined_request>();
+  one->keep_alive = request.keep_alive();
+  one->is_idempotent = IsIdempotent(request);
+  one->request = std::move(request);
+  one->state.arrived_at = arrived_at;
+  one->state.queued_behind = static_cast<int>(queue_.size());
+  reads_more_ = one->keep_alive && !(node_->draining && !queue_.empty());
+  queue_.push_back(one);
+  ++node_->in_flight;
+  StartRequests();
+}
+
+void caller_session::EnqueueRefusal(reason why) {
+  node_->CountAnswer(why, millis(0));
+  const auto one = std::make_shared<pipelined_request>();
+  one->is_started = true;
+  one->keep_alive = false;
+  one->answer = OwnAnswer(ReplyFor(why).status, "", std::string(ToName(why)),
+                          millis(0));
+  reads_more_ = false;
+  queue_.push_back(one);
+  ++node_->in_flight;
+  WriteReadyAnswers();
+}
+
+// A request that must not run twice waits for the answers to those before it,
+// and those behind it wait for its answer: if the connection ends, the caller
+// then knows which of them may have run.
+void caller_session::StartRequests() {
+  int served_now = 0;
+  const auto pending = queue_;
+  for (const auto& one : pending) {
+    const bool is_first = one == pending.front();
+    if (!one->is_started) {
+      if ((!is_first && !one->is_idempotent) ||
+          served_now >= kMaxServedAtOnce) {
+        return;
+      }
+      one->is_started = true;
+      asio::co_spawn(
+          node_->context,
+          [self = shared_from_this(), one]() { return self->ServeOne(one); },
+          asio::detached);
+    }
+    if (!one->is_idempotent) {
+      return;
+    }
+    served_now += one->answer ? 0 : 1;
+  }
+}
+
+awaitable<void> caller_session::ServeOne(
+    std::shared_ptr<pipelined_request> one) {
+  one->answer =
+      co_await ServeRequest(*node_, std::move(one->request), one->state);
+  StartRequests();
+  WriteReadyAnswers();
+}
+
+void caller_session::WriteReadyAnswers() {
+  if (!is_writing_ && !queue_.empty() && queue_.front()->answer) {
+    is_writing_ = true;
+    asio::co_spawn(
+        node_->context,
+        [self = shared_from_this()]() { return self->WriteAnswers(); },
+        asio::detached);
+  }
+}
+
+awaitable<void> caller_session::WriteAnswers() {
+  while (!queue_.empty() && queue_.front()->answer) {
+    const auto one = queue_.front();
+    const bool is_last = queue_.size() == 1;
+    const bool keep_alive =
+        one->keep_alive && !(is_last && (node_->draining || !reads_more_));
+    OnAnswerWritten(
+        co_await session_.Write(std::move(*one->answer), keep_alive));
+  }
+  is_writing_ = false;
+}
+
+void caller_session::OnAnswerWritten(bool stays_open) {
+  queue_.pop_front();
+  --node_->in_flight;
+  if (!stays_open) {
+    OnCallerLeft();
+    session_.stream().cancel();  // ends ReadRequests
+  }
+  StartRequests();
+  idle_since_ = boot_clock::Now();
+  queue_changed_.cancel();
+}
+
+// Requests that were not started are dropped: they count as not read.
+void caller_session::OnCallerLeft() {
+  reads_more_ = false;
+  for (const auto& one : queue_) {
+    one->state.OnCallerLeft();
+  }
+  std::erase_if(queue_, [this](const auto& one) {
+    node_->in_flight -= one->is_started ? 0 : 1;
+    return !one->is_started;
+  });
+  queue_changed_.cancel();
+}
+
+awaitable<void> caller_session::Serve() {
+  co_await ReadRequests();
+  while (!queue_.empty()) {
+    error_code changed;
+    co_await queue_changed_.async_wait(
+        asio::redirect_error(asio::use_awaitable, changed));
   }
-  session_.Close();
+  co_await session_.CloseAfterDelivery();
 }
 
 awaitable<void> ServeCallerConnection(std::shared_ptr<front_node> node,
                                       boost::beast::tcp_stream stream) {
-  caller_session session(std::move(node), std::move(stream));
-  co_await session.Serve();
+  const auto session =
+      std::make_shared<caller_session>(std::move(node), std::move(stream));
+  co_await session->Serve();
 }
 
 }  // namespace peridotarch
--- a/front/caller_session.h
+++ b/front/caller_session.h
@@ -1,7 +1,9 @@
 #ifndef FRONT_CALLER_SESSION_H_
 #define FRONT_CALLER_SESSION_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <deque>
 #include <memory>
 
 #include "front/front_node.h"
@@ -10,10 +12,12 @@
 
 namespace peridotarch {
 
-struct caller_request;
+struct pipelined_request;
 
-/// One accepted connection of a caller; serves its requests in order.
-class caller_session {
+/// One accepted connection of a caller. Answers its requests in the order in
+/// which they were sent; pipelined idempotent requests are served at the same
+/// time.
+class caller_session : public std::enable_shared_from_this<caller_session> {
  public:
   caller_session(std::shared_ptr<front_node> node,
                  boost::beast::tcp_stream stream);
@@ -26,16 +30,34 @@
 
   /// Closes the connection if no request is being read or served.
   void CloseIfIdle();
+  /// Closes the connection if it has been idle for longer than its limit.
+  void CloseIfIdleTooLong(millis now);
 
  private:
-  awaitable<http_response> HandleRequest(http_request request);
-  void WatchForDisconnect(const std::shared_ptr<caller_request>& state);
+  awaitable<void> ReadRequests();
+  awaitable<void> WaitForRoom();
+  void Enqueue(http_request request, millis arrived_at);
+  void EnqueueRefusal(reason why);
+  /// Starts the requests that may be served now.
+  void StartRequests();
+  awaitable<void> ServeOne(std::shared_ptr<pipelined_request> one);
+  void WriteReadyAnswers();
+  awaitable<void> WriteAnswers();
+  void OnAnswerWritten(bool stays_open);
+  /// The caller can no longer be answered.
+  void OnCallerLeft();
+  [[nodiscard]] bool IsIdempotent(const http_request& request) const;
   [[nodiscard]] read_limits MakeReadLimits() const;
 
   const std::shared_ptr<front_node> node_;
   http_session session_;
-  bool is_idle_ = true;
-  bool is_closed_while_idle_ = false;  ///< By CloseIfIdle.
+  /// The requests that were read and whose answers are not written yet.
+  std::deque<std::shared_ptr<pipelined_request>> queue_;
+  boost::asio::steady_timer queue_changed_;  ///< Cancelled at each change.
+  millis idle_since_;
+  bool is_waiting_for_request_ = true;  ///< No byte of a request was read.
+  bool is_writing_ = false;
+  bool reads_more_ = true;  ///< Further requests are read.
 };
 
 /// Serves one accepted connection.
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "front/caller_session.h"
+
 namespace peridotarch {
 
 namespace {
@@ -54,6 +56,14 @@
       .Record(static_cast<uint64_t>(taken.count() * kMicrosPerMilli));
 }
 
+// Closing a connection does not end its session at once, so the set does not
+// change meanwhile.
+void front_node::CloseIdleCallers(millis now) {
+  for (caller_session* session : sessions) {
+    session->CloseIfIdleTooLong(now);
+  }
+}
+
 void front_node::LogHealthChanges() {
   for (const health_change& change : selector.TakeChanges()) {
     log.Write(change.suspect ? "instance_suspect" : "instance_cleared",
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -74,6 +74,8 @@
   void Verify(bool holds, invariant which, const std::string& request);
   /// Counts an answer to a caller by its reason, and records the time taken.
   void CountAnswer(reason why, millis taken);
+  /// Closes the connections of callers that have been idle for too long.
+  void CloseIdleCallers(millis now);
   /// Logs the health changes that the selector has collected.
   void LogHealthChanges();
 };
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -241,6 +241,7 @@
     const millis now = boot_clock::Now();
     node_->selector.ForgetSilentPeers(now);
     node_->pool.CloseIdle(now);
+    node_->CloseIdleCallers(now);
     CountNodes(now);
   }
 }
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -22,6 +22,8 @@
 
 constexpr size_t kFirstRead = 4096;
 constexpr millis kWriteTimeout(15'000);
+// How long the other side may take to read the last answer and to close.
+constexpr millis kCloseTimeout(1'000);
 constexpr int kHttp11 = 11;
 
 read_outcome Refused(reason why) {
@@ -54,7 +56,42 @@
 http_session::http_session(beast::tcp_stream stream)
     : stream_(std::move(stream)) {}
 
+awaitable<bool> http_session::WaitForBytes() {
+  if (buffer_.size() > 0) {
+    co_return true;
+  }
+  error_code failure;
+  stream_.expires_never();
+  const size_t got = co_await stream_.async_read_some(
+      buffer_.prepare(kFirstRead),
+      asio::redirect_error(asio::use_awaitable, failure));
+  buffer_.commit(got);
+  received_at_ = boot_clock::Now();
+  co_return !failure;
+}
+
+awaitable<bool> http_session::DiscardBytes() {
+  error_code failure;
+  buffer_.clear();
+  stream_.expires_never();
+  co_await stream_.async_read_some(
+      buffer_.prepare(kFirstRead),
+      asio::redirect_error(asio::use_awaitable, failure));
+  co_return !failure;
+}
+
+// A pipelined request that was received together with the one before it has
+// waited since then.
 awaitable<read_outcome> http_session::Read(read_limits limits) {
+  const bool is_pipelined = buffer_.size() > 0;
+  read_outcome outcome = co_await ReadHead(limits);
+  const millis now = boot_clock::Now();
+  outcome.arrived_at = is_pipelined ? received_at_ : now;
+  received_at_ = now;
+  co_return outcome;
+}
+
+awaitable<read_outcome> http_session::ReadHead(const read_limits& limits) {
   error_code failure;
   if (buffer_.size() == 0) {
     stream_.expires_after(ToChrono(limits.idle));
@@ -116,6 +153,21 @@
   co_return !failure && keep_alive;
 }
 
+// Closing a socket with unread bytes resets the connection, and the reset may
+// overtake the last answer.
+awaitable<void> http_session::CloseAfterDelivery() {
+  error_code failure;
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
+  buffer_.clear();
+  stream_.expires_after(ToChrono(kCloseTimeout));
+  while (!failure) {
+    co_await stream_.async_read_some(
+        buffer_.prepare(kFirstRead),
+        asio::redirect_error(asio::use_awaitable, failure));
+  }
+  stream_.close();
+}
+
 void http_session::Close() {
   error_code ignored;
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -29,6 +29,7 @@
   std::optional<http_request> request;  ///< A whole request.
   std::optional<reason> refused;        ///< Answer this, then close.
                                         ///< Neither: close without an answer.
+  millis arrived_at;                    ///< When the request had arrived.
 };
 
 /// One accepted HTTP/1.1 connection.
@@ -36,6 +37,13 @@
  public:
   explicit http_session(boost::beast::tcp_stream stream);
 
+  /// Waits without a limit for the first byte of the next request. Returns
+  /// false if the connection has ended.
+  awaitable<bool> WaitForBytes();
+
+  /// Drops bytes as they arrive. Returns false if the connection has ended.
+  awaitable<bool> DiscardBytes();
+
   /// Reads a request within the limits.
   awaitable<read_outcome> Read(read_limits limits);
 
@@ -45,15 +53,21 @@
   /// Closes the connection in order.
   void Close();
 
+  /// Closes the connection after the other side has received what was written.
+  /// Bytes that still arrive are dropped.
+  awaitable<void> CloseAfterDelivery();
+
   [[nodiscard]] boost::beast::tcp_stream& stream() { return stream_; }
 
  private:
+  awaitable<read_outcome> ReadHead(const read_limits& limits);
   awaitable<read_outcome> ReadBody(
       boost::beast::http::request_parser<boost::beast::http::empty_body>& head,
       const read_limits& limits);
 
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
+  millis received_at_;  ///< When the bytes in `buffer_` had been received.
 };
 
 }  // namespace peridotarch
