Work times are kept by route; connections are reused; fewer trials that cost an answer

On orders-svc, whose requests cannot be retried, 64 of 141 trials failed, one every two seconds at each instance that stayed gray for 9 to 20 s. More than every second attempt needed a new connection, since the choice among idle instances was random.

Change: balance/work_times keeps a mean for each route and one for what occupies a slot; until answers are seen, the objective gives the estimate. An instance with an idle connection of the node ranks as if it had one request fewer, and so does one that no node has used for a second. After a failed trial, requests that cannot be retried wait 2.2 s longer with the next one. The number of suspects and the node's busy instances are kept instead of counted anew for each log line and report.

Peers' work times are no longer used, since reports do not name a route.

--- a/balance/instance_health.cc
+++ b/balance/instance_health.cc
@@ -29,6 +29,7 @@
       if (successes_to_clear_ == 0) {
         return false;
       }
+      has_failed_trial_ = false;
       return --successes_to_clear_ == 0;
     case attempt_outcome::kFailed:
     case attempt_outcome::kBroken:
@@ -48,8 +49,9 @@
 
 // A failure during the hold is of a request that was already in flight, so it
 // does not count as a failed trial.
-millis instance_health::FailureHold(millis now) const {
+millis instance_health::FailureHold(millis now) {
   const bool is_trial = suspect() && now >= hold_until_;
+  has_failed_trial_ = has_failed_trial_ || is_trial;
   return is_trial ? kFailedTrialHold : kFailureHold;
 }
 
--- a/balance/instance_health.h
+++ b/balance/instance_health.h
@@ -24,15 +24,19 @@
     return now - hold_until_;
   }
 
+  /// Returns whether a trial has failed since the instance became suspect.
+  [[nodiscard]] bool has_failed_trial() const { return has_failed_trial_; }
+
   /// Returns the latest outcome that counted against the instance.
   [[nodiscard]] attempt_outcome cause() const { return cause_; }
 
  private:
-  [[nodiscard]] millis FailureHold(millis now) const;
+  [[nodiscard]] millis FailureHold(millis now);
   bool MarkSuspect(attempt_outcome outcome, millis hold, int successes_to_clear,
                    millis now);
 
   int successes_to_clear_ = 0;  ///< Successes still needed to clear it.
+  bool has_failed_trial_ = false;
   millis hold_until_;           ///< No trial before this time.
   attempt_outcome cause_ = attempt_outcome::kOk;
 };
--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -9,9 +9,6 @@
 namespace {
 
 constexpr millis kPeerTimeout(2'500);   // two missed reports a second apart
-constexpr double kInitialWorkMs = 200;  // until answers have been seen
-constexpr double kNewSampleWeight = 0.05;
-constexpr double kMaxSampleFactor = 5;  // of the mean; caps outliers
 // Work times vary widely: one healthy request in a hundred takes longer.
 constexpr double kSlowFactor = 4;
 constexpr millis kMinSlowAfter(250);
@@ -25,6 +22,10 @@
 // least urgent requests a little later, and then any request.
 constexpr millis kLeastUrgentTrialDelay(400);
 constexpr millis kAnyTrialDelay(800);
+// A failed trial shows that the instance is gray, and it stays so for several
+// seconds. Each further trial that cannot be retried costs its caller the
+// answer.
+constexpr millis kDelayAfterFailedTrial(2'200);
 // Share of the available time that the expected answer may take. It shrinks
 // with each step of priority, so that the least urgent requests are refused
 // first. Longer queues do not raise the throughput of an overloaded service;
@@ -44,26 +45,13 @@
 // Another instance keeps the address, and the outdated entry is removed soon.
 constexpr millis kMovedHold(5'000);
 constexpr size_t kMaxRecentOutcomes = 8;
+// An instance without a request for this long may be new or recovered.
+constexpr millis kUnusedTime(1'000);
 constexpr millis kOutcomeRepeatTime(500);  // two reports to other zones
 constexpr int kMaxReported = 255;  // entries and requests; each fits in a byte
 
-void AddToMean(double& mean, double sample) {
-  mean += kNewSampleWeight * (sample - mean);
-}
-
 }  // namespace
 
-// All routes of a service share one objective: the most urgent route may have
-// the shortest objective, and must not be refused before the others.
-void instance_selector::service_stats::NoteObjective(millis objective) {
-  const auto sample = static_cast<double>(objective.count());
-  if (mean_objective_ms == 0) {
-    mean_objective_ms = sample;
-  } else {
-    AddToMean(mean_objective_ms, sample);
-  }
-}
-
 void instance_selector::SetInstances(std::span<const instance_entry> entries,
                                      millis now) {
   for (auto& [key, instance] : instances_) {
@@ -88,6 +76,7 @@
   std::erase_if(instances_, [](const auto& item) {
     return !item.second.is_listed && item.second.own_in_flight == 0;
   });
+  CountSuspects();
   for (auto& [key, instance] : instances_) {
     if (instance.is_listed && !instance.entry.draining) {
       by_service_[instance.entry.service].push_back(&instance);
@@ -95,6 +84,13 @@
   }
 }
 
+void instance_selector::CountSuspects() {
+  suspect_count_ = static_cast<size_t>(
+      std::count_if(instances_.begin(), instances_.end(), [](const auto& item) {
+        return item.second.is_listed && item.second.health.suspect();
+      }));
+}
+
 double instance_selector::LoadOf(const tracked_instance& instance,
                                  millis now) const {
   const double cold = now < instance.cold_until ? 1 : 0;
@@ -109,10 +105,11 @@
 }
 
 double instance_selector::ExpectedMs(const tracked_instance& instance,
-                                     double mean_work, millis now) {
-  const double work =
-      now < instance.cold_until ? mean_work * kColdFactor : mean_work;
-  return work * WorkRounds(instance);
+                                     const latency_limits& limits,
+                                     millis now) {
+  const double wait = limits.mean_work_in_slot * (WorkRounds(instance) - 1);
+  const double expected = limits.mean_work + wait;
+  return now < instance.cold_until ? expected * kColdFactor : expected;
 }
 
 bool instance_selector::IsSelectable(const tracked_instance& instance,
@@ -135,27 +132,39 @@
   }
   const millis start =
       instance.entry.zone == zone_ ? millis(0) : kOtherZoneTrialDelay;
-  const millis overdue = instance.health.TrialOverdue(now) - start;
+  millis overdue = instance.health.TrialOverdue(now) - start;
   if (request.is_retryable) {
     return overdue >= millis(0);
   }
+  if (instance.health.has_failed_trial()) {
+    overdue = overdue - kDelayAfterFailedTrial;
+  }
   return overdue >= kAnyTrialDelay || (request.priority >= least_urgent &&
                                        overdue >= kLeastUrgentTrialDelay);
 }
 
 // An instance with a free slot answers as soon as an idle one, so instances
 // with room in the node's own zone go first: traffic between zones is paid for.
-// Ties are broken at random, since all nodes see the same load and would
-// otherwise choose the same instance.
+// So are new connections: an instance to which this node has an idle one ranks
+// as if it had one request fewer. So does an instance that no node has used
+// lately, or nodes would stay with those that they are connected to. Ties are
+// broken at random, since all nodes see the same load and would otherwise
+// choose the same instance.
 instance_selector::tracked_instance* instance_selector::LeastLoaded(
-    const std::vector<tracked_instance*>& instances, millis now) {
+    const std::vector<tracked_instance*>& instances,
+    const choice_request& request, millis now) {
   tracked_instance* best = nullptr;
-  std::tuple<bool, double, bool, uint64_t> best_rank;
+  std::tuple<bool, double, bool, bool, uint64_t> best_rank;
   for (tracked_instance* instance : instances) {
     const double load = LoadOf(*instance, now);
     const bool is_other_zone = instance->entry.zone != zone_;
-    const std::tuple rank(is_other_zone || load >= 1, load, is_other_zone,
-                          random_());
+    const bool is_preferred =
+        instance->HasConnection(request.max_idle_time, now) ||
+        now - instance->used_at > kUnusedTime;
+    const double bonus =
+        is_preferred ? 1.0 / std::max(1, instance->entry.slots) : 0;
+    const std::tuple rank(is_other_zone || load >= 1, load - bonus,
+                          !is_preferred, is_other_zone, random_());
     if (best == nullptr || rank < best_rank) {
       best = instance;
       best_rank = rank;
@@ -166,7 +175,7 @@
 
 instance_choice instance_selector::MakeChoice(const tracked_instance& instance,
                                               choice_basis basis,
-                                              double mean_work,
+                                              const latency_limits& limits,
                                               millis now) const {
   instance_choice choice;
   choice.basis = basis;
@@ -174,7 +183,7 @@
   choice.key = instance.key;
   choice.in_flight = instance.InFlight();
   choice.work_rounds = WorkRounds(instance);
-  const double expected = ExpectedMs(instance, mean_work, now);
+  const double expected = ExpectedMs(instance, limits, now);
   choice.expected = millis(static_cast<int64_t>(expected));
   choice.slow_after = std::max(
       kMinSlowAfter, millis(static_cast<int64_t>(kSlowFactor * expected)));
@@ -184,11 +193,11 @@
 instance_selector::latency_limits instance_selector::LimitsFor(
     const service_stats& stats, const choice_request& request) {
   latency_limits limits;
-  limits.mean_work =
-      stats.mean_work_ms > 0 ? stats.mean_work_ms : kInitialWorkMs;
+  limits.mean_work = stats.work.MeanOf(request.route);
+  limits.mean_work_in_slot = stats.work.MeanInSlot();
   limits.time_left = static_cast<double>(request.time_left.count());
   const double available =
-      std::min(limits.time_left, stats.mean_objective_ms * kObjectiveShare);
+      std::min(limits.time_left, stats.work.MeanObjective() * kObjectiveShare);
   const int steps = std::min(request.priority, kMaxPrioritySteps);
   limits.in_time = available * (kTimeShare - kPriorityStep * steps);
   limits.in_time_most_urgent = available * kTimeShare;
@@ -215,7 +224,7 @@
       }
       continue;
     }
-    const double expected = ExpectedMs(*instance, limits.mean_work, now);
+    const double expected = ExpectedMs(*instance, limits, now);
     options.shortest_ms = options.shortest_ms == 0
                               ? expected
                               : std::min(options.shortest_ms, expected);
@@ -244,31 +253,30 @@
   }
   service_stats& stats = stats_[found->first];
   stats.least_urgent = std::max(stats.least_urgent, request.priority);
-  stats.NoteObjective(request.objective);
+  stats.work.NoteRequest(request.route, request.objective);
   const latency_limits limits = LimitsFor(stats, request);
   const candidates options =
       FindCandidates(found->second, request, limits, stats.least_urgent, now);
   if (options.trial != nullptr) {
-    return MakeChoice(*options.trial, choice_basis::kTrial, limits.mean_work,
-                      now);
+    return MakeChoice(*options.trial, choice_basis::kTrial, limits, now);
   }
-  if (tracked_instance* best = LeastLoaded(options.in_time, now)) {
-    return MakeChoice(*best, choice_basis::kRegular, limits.mean_work, now);
+  if (tracked_instance* best = LeastLoaded(options.in_time, request, now)) {
+    return MakeChoice(*best, choice_basis::kRegular, limits, now);
   }
   if (!options.reserved.empty() &&
       ++stats.reserve_denials > kMaxReserveDenials) {
     stats.reserve_denials = 0;
-    tracked_instance* best = LeastLoaded(options.reserved, now);
-    return MakeChoice(*best, choice_basis::kRegular, limits.mean_work, now);
+    tracked_instance* best = LeastLoaded(options.reserved, request, now);
+    return MakeChoice(*best, choice_basis::kRegular, limits, now);
   }
-  if (tracked_instance* best = LeastLoaded(options.shedding, now)) {
-    return MakeChoice(*best, choice_basis::kLastResort, limits.mean_work, now);
+  if (tracked_instance* best = LeastLoaded(options.shedding, request, now)) {
+    return MakeChoice(*best, choice_basis::kLastResort, limits, now);
   }
-  if (tracked_instance* best = LeastLoaded(options.late, now)) {
-    return MakeChoice(*best, choice_basis::kRegular, limits.mean_work, now);
+  if (tracked_instance* best = LeastLoaded(options.late, request, now)) {
+    return MakeChoice(*best, choice_basis::kRegular, limits, now);
   }
-  if (tracked_instance* best = LeastLoaded(options.other_suspects, now)) {
-    return MakeChoice(*best, choice_basis::kLastResort, limits.mean_work, now);
+  if (tracked_instance* best = LeastLoaded(options.other_suspects, request, now)) {
+    return MakeChoice(*best, choice_basis::kLastResort, limits, now);
   }
   none.basis = choice_basis::kOverload;
   const double until_capacity =
@@ -280,21 +288,38 @@
 
 void instance_selector::Begin(instance_key key) {
   const auto found = instances_.find(key);
+  if (found == instances_.end()) {
+    return;
+  }
+  tracked_instance& instance = found->second;
+  if (++instance.own_in_flight == 1) {
+    busy_.push_back(&instance);
+  }
+  instance.idle_connections = std::max(0, instance.idle_connections - 1);
+  ++in_flight_;
+}
+
+void instance_selector::NoteIdleConnections(instance_key key, int count,
+                                            millis now) {
+  const auto found = instances_.find(key);
   if (found != instances_.end()) {
-    ++found->second.own_in_flight;
-    ++in_flight_;
+    found->second.idle_connections = count;
+    found->second.idle_since = now;
   }
 }
 
 void instance_selector::End(instance_key key, attempt_outcome outcome,
-                            millis work, millis now) {
+                            millis work, millis now, uint32_t route) {
   const auto found = instances_.find(key);
   if (found == instances_.end()) {
     return;
   }
   tracked_instance& instance = found->second;
-  --instance.own_in_flight;
+  if (--instance.own_in_flight == 0) {
+    std::erase(busy_, &instance);
+  }
   --in_flight_;
+  instance.used_at = now;
   if (outcome == attempt_outcome::kUnreachable) {
     const int doublings =
         std::min(instance.unreachable_count++, kMaxUnreachableDoublings);
@@ -306,7 +331,10 @@
   if (outcome != attempt_outcome::kOk || instance.health.suspect()) {
     AddRecentOutcome(key, outcome, work, now);
   }
-  ApplyOutcome(instance, outcome, work, "", now);
+  if (outcome == attempt_outcome::kOk && now >= instance.cold_until) {
+    stats_[instance.entry.service].work.NoteWork(route, work);
+  }
+  ApplyOutcome(instance, outcome, "", now);
 }
 
 void instance_selector::NoteEarlyOutcome(instance_key key,
@@ -314,7 +342,7 @@
   const auto found = instances_.find(key);
   if (found != instances_.end()) {
     AddRecentOutcome(key, outcome, millis(0), now);
-    ApplyOutcome(found->second, outcome, millis(0), "", now);
+    ApplyOutcome(found->second, outcome, "", now);
   }
 }
 
@@ -332,23 +360,17 @@
 }
 
 void instance_selector::ApplyOutcome(tracked_instance& instance,
-                                     attempt_outcome outcome, millis work,
+                                     attempt_outcome outcome,
                                      const std::string& told_by, millis now) {
-  if (outcome == attempt_outcome::kOk && now >= instance.cold_until) {
-    double& mean = stats_[instance.entry.service].mean_work_ms;
-    const auto sample = static_cast<double>(work.count());
-    if (mean == 0) {
-      mean = std::max(1.0, sample);
-    } else {
-      AddToMean(mean, std::min(sample, mean * kMaxSampleFactor));
-    }
-  }
   if (outcome == attempt_outcome::kMoved) {
     instance.unreachable_until = now + kMovedHold;
   }
   if (instance.health.RecordOutcome(outcome, now)) {
     changes_.push_back({instance.entry.id, instance.health.suspect(),
                         instance.health.cause(), told_by});
+    if (instance.is_listed) {
+      suspect_count_ += instance.health.suspect() ? 1 : -1;
+    }
   }
 }
 
@@ -390,13 +412,14 @@
       continue;
     }
     found->second.peers_in_flight += entry.in_flight;
+    found->second.used_at = now;
   }
   for (const outcome_entry& entry : report.outcomes) {
     const auto found = instances_.find(entry.instance);
     if (entry.number > state.outcome_number) {
       state.outcome_number = entry.number;
       if (found != instances_.end()) {
-        ApplyOutcome(found->second, entry.outcome, entry.work, peer, now);
+        ApplyOutcome(found->second, entry.outcome, peer, now);
       }
     }
   }
@@ -413,10 +436,11 @@
 
 load_report instance_selector::MakeReport(millis now) const {
   load_report report;
-  for (const auto& [key, instance] : instances_) {
-    if (instance.own_in_flight > 0 && report.load.size() < kMaxReported) {
-      report.load.push_back({key, static_cast<uint8_t>(std::min(
-                                      instance.own_in_flight, kMaxReported))});
+  for (const tracked_instance* instance : busy_) {
+    if (report.load.size() < kMaxReported) {
+      report.load.push_back(
+          {instance->key, static_cast<uint8_t>(std::min(
+                              instance->own_in_flight, kMaxReported))});
     }
   }
   for (const recent_outcome& recent : recent_outcomes_) {
@@ -431,13 +455,6 @@
   return std::exchange(changes_, {});
 }
 
-size_t instance_selector::suspects() const {
-  return static_cast<size_t>(
-      std::count_if(instances_.begin(), instances_.end(), [](const auto& item) {
-        return item.second.is_listed && item.second.health.suspect();
-      }));
-}
-
 const instance_entry* instance_selector::Find(instance_key key) const {
   const auto found = instances_.find(key);
   const bool is_listed = found != instances_.end() && found->second.is_listed;
--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -14,6 +14,7 @@
 #include "balance/instance.h"
 #include "balance/instance_health.h"
 #include "balance/load_report.h"
+#include "balance/work_times.h"
 #include "core/millis.h"
 #include "core/names.h"
 #include "core/random.h"
@@ -23,11 +24,13 @@
 /// The attempt that an instance is chosen for.
 struct choice_request {
   std::string_view service;
+  uint32_t route = 0;  ///< Key of the route's name.
   bool is_retryable = false;     ///< May be retried at another instance.
   bool is_first_attempt = true;  ///< No attempt has failed yet.
   int priority = 0;              ///< 0 is the most urgent.
   millis time_left;  ///< Until the caller's deadline or the route's timeout.
   millis objective;  ///< An answer within it has full value.
+  millis max_idle_time;  ///< A connection idle for longer is not used.
   std::span<const instance_key> tried = {};  ///< Must not be chosen again.
 };
 
@@ -85,8 +88,12 @@
   /// Counts an attempt that begins at the instance.
   void Begin(instance_key key);
   /// Records the end of an attempt. `work` is the time that the instance spent
-  /// on it alone.
-  void End(instance_key key, attempt_outcome outcome, millis work, millis now);
+  /// on it alone, `route` the key of the route's name.
+  void End(instance_key key, attempt_outcome outcome, millis work, millis now,
+           uint32_t route = 0);
+  /// Records how many idle connections to the instance this node has kept; the
+  /// last one became idle now.
+  void NoteIdleConnections(instance_key key, int count, millis now);
   /// Records an outcome of an attempt that is still in flight.
   void NoteEarlyOutcome(instance_key key, attempt_outcome outcome, millis now);
 
@@ -103,7 +110,7 @@
   /// Returns the number of listed instances.
   [[nodiscard]] size_t size() const { return listed_count_; }
   /// Returns the number of listed instances that are suspect.
-  [[nodiscard]] size_t suspects() const;
+  [[nodiscard]] size_t suspects() const { return suspect_count_; }
   /// Returns the entry of a listed instance, or nullptr.
   [[nodiscard]] const instance_entry* Find(instance_key key) const;
   /// Returns this node's requests in flight at all instances.
@@ -116,6 +123,11 @@
       return own_in_flight + peers_in_flight;
     }
     [[nodiscard]] bool HasRoom() const { return InFlight() < entry.slots; }
+    /// Returns whether this node has a connection that is idle for at most
+    /// `max_idle_time`.
+    [[nodiscard]] bool HasConnection(millis max_idle_time, millis now) const {
+      return idle_connections > 0 && now - idle_since <= max_idle_time;
+    }
 
     instance_entry entry;
     instance_key key = 0;
@@ -125,6 +137,9 @@
     millis cold_until;
     millis unreachable_until;   ///< No attempts by this node until then.
     int unreachable_count = 0;  ///< Since the last good answer.
+    int idle_connections = 0;   ///< Kept by this node.
+    millis idle_since;          ///< Of the last idle connection.
+    millis used_at;             ///< When it last had a request in flight.
     instance_health health;
   };
   struct peer_state {
@@ -135,21 +150,19 @@
     std::vector<load_entry> load;
   };
   struct service_stats {
-    void NoteObjective(millis objective);
-
-    double mean_work_ms = 0;       ///< Moving average over good answers.
-    double mean_objective_ms = 0;  ///< Moving average over requests.
-    int least_urgent = 0;          ///< Highest priority number seen.
-    int reserve_denials = 0;       ///< In a row, see kMaxReserveDenials.
+    work_times work;
+    int least_urgent = 0;     ///< Highest priority number seen.
+    int reserve_denials = 0;  ///< In a row, see kMaxReserveDenials.
   };
   struct recent_outcome {
     outcome_entry entry;
     millis recorded_at;
   };
 
-  /// The mean work time and limits on the expected latency, all in ms.
+  /// The mean work times and limits on the expected latency, all in ms.
   struct latency_limits {
-    double mean_work = 0;
+    double mean_work = 0;          ///< Of the request's route.
+    double mean_work_in_slot = 0;  ///< Of the requests ahead of it.
     double in_time = 0;              ///< For a request of this priority.
     double in_time_most_urgent = 0;  ///< For a request of the top priority.
     double time_left = 0;            ///< Until the deadline or the timeout.
@@ -182,7 +195,8 @@
                               millis now) const;
   [[nodiscard]] static double WorkRounds(const tracked_instance& instance);
   [[nodiscard]] static double ExpectedMs(const tracked_instance& instance,
-                                         double mean_work, millis now);
+                                         const latency_limits& limits,
+                                         millis now);
   [[nodiscard]] bool IsDueForTrial(const tracked_instance& instance,
                                    const choice_request& request,
                                    int least_urgent, millis now) const;
@@ -190,13 +204,15 @@
                                   const choice_request& request,
                                   millis now) const;
   [[nodiscard]] instance_choice MakeChoice(const tracked_instance& instance,
-                                           choice_basis basis, double mean_work,
+                                           choice_basis basis,
+                                           const latency_limits& limits,
                                            millis now) const;
   /// Returns nullptr if `instances` is empty.
   tracked_instance* LeastLoaded(const std::vector<tracked_instance*>& instances,
-                                millis now);
+                                const choice_request& request, millis now);
   void ApplyOutcome(tracked_instance& instance, attempt_outcome outcome,
-                    millis work, const std::string& told_by, millis now);
+                    const std::string& told_by, millis now);
+  void CountSuspects();
   void AddRecentOutcome(instance_key key, attempt_outcome outcome, millis work,
                         millis now);
   void SubtractLoad(const peer_state& peer);
@@ -212,6 +228,9 @@
   std::vector<health_change> changes_;
   uint32_t last_outcome_number_ = 0;
   size_t listed_count_ = 0;
+  size_t suspect_count_ = 0;  ///< Listed instances that are suspect.
+  /// Instances at which this node has requests in flight.
+  std::vector<tracked_instance*> busy_;
   int in_flight_ = 0;
 };
 
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -72,6 +72,9 @@
   [[nodiscard]] choice_request MakeChoiceRequest(millis now) const;
   choice_request MakeChoiceRequestWithout(instance_key key, millis now);
   void OnSlowAttempt(instance_key key, exchange_control& control);
+  [[nodiscard]] millis MaxIdleTime() const {
+    return route_->idempotent ? kMaxIdleTimeIdempotent : kMaxIdleTime;
+  }
   [[nodiscard]] millis Jitter(millis span);
   void LogAttempt(const attempt_record& attempt, retry_choice retry);
   void LogRetryDenied();
@@ -139,6 +142,8 @@
   request.priority = route_->priority;
   request.time_left = work_deadline_ - now;
   request.objective = route_->latency_objective;
+  request.route = KeyOf(route_->name);
+  request.max_idle_time = MaxIdleTime();
   request.tried = tried_;
   return request;
 }
@@ -170,8 +175,7 @@
                                      work_deadline_ - attempt_started_at);
   params.id = terms_.id;
   params.time_left = answer_deadline_ - attempt_started_at;
-  params.max_idle_time =
-      route_->idempotent ? kMaxIdleTimeIdempotent : kMaxIdleTime;
+  params.max_idle_time = MaxIdleTime();
   node_.Verify(!params.instance.draining, invariant::kLeaving, terms_.id);
   const auto control = std::make_shared<exchange_control>();
   state_.exchange = control;
@@ -193,8 +197,13 @@
     attempt.classification.outcome = attempt_outcome::kUnknown;
   }
   const attempt_outcome outcome = attempt.classification.outcome;
-  node_.selector.End(key, outcome, InstanceWorkTime(attempt),
-                     boot_clock::Now());
+  const millis now = boot_clock::Now();
+  node_.selector.End(key, outcome, InstanceWorkTime(attempt), now,
+                     KeyOf(route_->name));
+  if (attempt.result.idle_connections > 0) {
+    node_.selector.NoteIdleConnections(key, attempt.result.idle_connections,
+                                       now);
+  }
   node_.LogHealthChanges();
   const bool succeeded =
       outcome == attempt_outcome::kOk || outcome == attempt_outcome::kUnknown;
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -129,14 +129,15 @@
   return nullptr;
 }
 
-void connection_pool::KeepIdle(const instance_entry& instance,
-                               connection_ptr connection) {
+int connection_pool::KeepIdle(const instance_entry& instance,
+                              connection_ptr connection) {
   auto& kept = idle_[ConnectionKey(instance)];
   if (kept.size() < kMaxIdlePerInstance) {
     connection->stream.expires_never();
     connection->idle_since = boot_clock::Now();
     kept.push_back(std::move(connection));
   }
+  return static_cast<int>(kept.size());
 }
 
 void connection_pool::CloseIdle(millis now) {
@@ -200,7 +201,7 @@
   if (result.answer.keep_alive() && is_framed && connection->fully_sent &&
       connection->buffer.size() == 0) {
     connection->idle_timeout = IdleTimeout(result.answer) - kIdleCloseMargin;
-    KeepIdle(params.instance, std::move(connection));
+    result.idle_connections = KeepIdle(params.instance, std::move(connection));
   } else {
     connection->stream.close();
   }
--- a/front/connection_pool.h
+++ b/front/connection_pool.h
@@ -43,6 +43,7 @@
   attempt_summary summary;
   http_response answer;  ///< Set if `summary` says answered.
   bool reused = false;   ///< The connection had carried a request before.
+  int idle_connections = 0;  ///< To the instance, after the exchange.
 };
 
 /// Keep-alive connections to instances. Each carries one request at a time.
@@ -63,7 +64,8 @@
   using connection_ptr = std::shared_ptr<instance_connection>;
 
   connection_ptr TakeIdle(const instance_entry& instance, millis max_idle_time);
-  void KeepIdle(const instance_entry& instance, connection_ptr connection);
+  /// Returns how many idle connections to the instance are kept.
+  int KeepIdle(const instance_entry& instance, connection_ptr connection);
 
   boost::asio::io_context& context_;
   std::unordered_map<std::string, std::vector<connection_ptr>> idle_;
--- a/tests/balance/instance_selector_test.cc
+++ b/tests/balance/instance_selector_test.cc
@@ -89,6 +89,22 @@
   CHECK(basis_at(second + millis(2'000)) == choice_basis::kTrial);
 }
 
+// A service of non-idempotent requests alone lost a request every two seconds
+// to each of its gray instances.
+TEST_CASE("gray instance: requests that cannot be retried try it less often") {
+  selector_fleet fleet(1);
+  fleet.SetInstances(MakeEntries(6, "orders"), kStart);
+  const instance_key gray = KeyOf("orders-2");
+  const auto basis_at = [&](millis now) {
+    return fleet[0].Choose(MakeRequest("orders"), now).basis;
+  };
+  FailOnce(fleet, 0, gray, kStart);
+  CHECK(basis_at(kStart + millis(1'500)) == choice_basis::kTrial);
+  FailOnce(fleet, 0, gray, kStart + millis(1'500));
+  CHECK(basis_at(kStart + millis(5'500)) == choice_basis::kRegular);
+  CHECK(basis_at(kStart + millis(6'000)) == choice_basis::kTrial);
+}
+
 TEST_CASE("many gray instances: a retry is not used for a trial") {
   selector_fleet fleet(1);
   fleet.SetInstances(MakeEntries(6, "ledger"), kStart);
