Nodes tell only the users of an instance of its load

Weighed: subsets (taken), collectors that merge pictures (a collector that dies blinds its nodes for seconds, and it needs a protocol of its own), owners that count slots exactly (one hop more, and a dead owner makes outcomes unknown).

Change: the live nodes of a zone and the instances of a service in it stand on a ring. Failures and changes of records go to the own zone directly and to other zones by relays. With more than 96 nodes in other zones, those learn of loads from heartbeats alone.

--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -13,10 +13,10 @@
 constexpr double kSlowFactor = 4;
 constexpr millis kMinSlowAfter(250);
 constexpr double kColdFactor = 2;  // a cold instance takes twice as long
-// Nodes in the instance's own zone hear of a trial at once, and other nodes
-// only with the next report to their zone, so these nodes wait for longer
-// before they start a trial.
-constexpr millis kOtherZoneTrialDelay(300);
+// The nodes that use an instance hear of a trial at once, and other nodes only
+// with a later report, so these nodes wait for longer before they start a
+// trial.
+constexpr millis kOtherNodesTrialDelay(300);
 // A retryable request tries a suspect as soon as its hold ends, since it can be
 // retried elsewhere after a failure. A service without such requests uses its
 // least urgent requests a little later, and then any request.
@@ -82,6 +82,47 @@
       by_service_[instance.entry.service].push_back(&instance);
     }
   }
+  AssignHomes();
+}
+
+void instance_selector::SetRingPosition(double position, size_t nodes) {
+  if (position != ring_position_ || nodes != zone_nodes_) {
+    ring_position_ = position;
+    zone_nodes_ = nodes;
+    AssignHomes();
+  }
+}
+
+// Ranks the instances of each service in this zone by their keys. All nodes of
+// the zone have the same list, so they agree on the ranks.
+void instance_selector::AssignHomes() {
+  for (auto& [service, members] : by_service_) {
+    std::vector<tracked_instance*> own_zone;
+    for (tracked_instance* instance : members) {
+      instance->is_home = false;
+      if (instance->entry.zone == zone_) {
+        own_zone.push_back(instance);
+      }
+    }
+    std::sort(own_zone.begin(), own_zone.end(),
+              [](const auto* left, const auto* right) {
+                return left->key < right->key;
+              });
+    for (size_t rank = 0; rank < own_zone.size(); ++rank) {
+      tracked_instance& instance = *own_zone[rank];
+      instance.home = HomeRangeOf(rank, own_zone.size(), zone_nodes_);
+      instance.is_home = instance.home.Contains(ring_position_);
+    }
+  }
+}
+
+std::optional<home_range> instance_selector::HomeOf(instance_key key) const {
+  const auto found = instances_.find(key);
+  if (found == instances_.end() || !found->second.is_listed ||
+      found->second.entry.zone != zone_) {
+    return std::nullopt;
+  }
+  return found->second.home;
 }
 
 void instance_selector::CountSuspects() {
@@ -130,8 +171,7 @@
   if (instance.InFlight() > 0 || !request.is_first_attempt) {
     return false;
   }
-  const millis start =
-      instance.entry.zone == zone_ ? millis(0) : kOtherZoneTrialDelay;
+  const millis start = instance.is_home ? millis(0) : kOtherNodesTrialDelay;
   millis overdue = instance.health.TrialOverdue(now) - start;
   if (request.is_retryable) {
     return overdue >= millis(0);
@@ -143,28 +183,31 @@
                                        overdue >= kLeastUrgentTrialDelay);
 }
 
-// An instance with a free slot answers as soon as an idle one, so instances
-// with room in the node's own zone go first: traffic between zones is paid for.
-// So are new connections: an instance to which this node has an idle one ranks
-// as if it had one request fewer. So does an instance that no node has used
-// lately, or nodes would stay with those that they are connected to. Ties are
-// broken at random, since all nodes see the same load and would otherwise
+// An instance with a free slot answers as soon as an idle one. So those with
+// room that this node shares with few others go first, since it knows their
+// load best; then those with room in its zone, since traffic between zones is
+// paid for. So are new connections: an instance to which this node has an idle
+// one ranks as if it had one request fewer. So does an instance that no node
+// has used lately, or nodes would stay with those that they are connected to.
+// Ties are broken at random, since nodes that see the same load would otherwise
 // choose the same instance.
 instance_selector::tracked_instance* instance_selector::LeastLoaded(
     const std::vector<tracked_instance*>& instances,
     const choice_request& request, millis now) {
   tracked_instance* best = nullptr;
-  std::tuple<bool, double, bool, bool, uint64_t> best_rank;
+  std::tuple<int, double, bool, bool, uint64_t> best_rank;
   for (tracked_instance* instance : instances) {
     const double load = LoadOf(*instance, now);
     const bool is_other_zone = instance->entry.zone != zone_;
+    const bool has_room = !is_other_zone && load < 1;
+    const int tier = !has_room ? 2 : instance->is_home ? 0 : 1;
     const bool is_preferred =
         instance->HasConnection(request.max_idle_time, now) ||
         now - instance->used_at > kUnusedTime;
     const double bonus =
         is_preferred ? 1.0 / std::max(1, instance->entry.slots) : 0;
-    const std::tuple rank(is_other_zone || load >= 1, load - bonus,
-                          !is_preferred, is_other_zone, random_());
+    const std::tuple rank(tier, load - bonus, !is_preferred, is_other_zone,
+                          random_());
     if (best == nullptr || rank < best_rank) {
       best = instance;
       best_rank = rank;
--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -14,6 +15,7 @@
 #include "balance/instance.h"
 #include "balance/instance_health.h"
 #include "balance/load_report.h"
+#include "balance/node_ring.h"
 #include "balance/work_times.h"
 #include "core/millis.h"
 #include "core/names.h"
@@ -82,6 +84,10 @@
   /// health, except that a restarted instance begins with new health.
   void SetInstances(std::span<const instance_entry> entries, millis now);
 
+  /// Sets this node's position among the `nodes` live nodes of its zone, which
+  /// decides which instances it prefers.
+  void SetRingPosition(double position, size_t nodes);
+
   /// Chooses the instance for one attempt, but does not begin it.
   instance_choice Choose(const choice_request& request, millis now);
 
@@ -113,6 +119,9 @@
   [[nodiscard]] size_t suspects() const { return suspect_count_; }
   /// Returns the entry of a listed instance, or nullptr.
   [[nodiscard]] const instance_entry* Find(instance_key key) const;
+  /// Returns the nodes of this zone that use the instance, or nullopt if it is
+  /// not listed or is in another zone.
+  [[nodiscard]] std::optional<home_range> HomeOf(instance_key key) const;
   /// Returns this node's requests in flight at all instances.
   [[nodiscard]] int in_flight() const { return in_flight_; }
 
@@ -132,6 +141,8 @@
     instance_entry entry;
     instance_key key = 0;
     bool is_listed = false;
+    home_range home;       ///< For instances in this node's zone.
+    bool is_home = false;  ///< This node is in `home`.
     int own_in_flight = 0;    ///< Requests of this node.
     int peers_in_flight = 0;  ///< Requests of the peers, as they report.
     millis cold_until;
@@ -213,11 +224,14 @@
   void ApplyOutcome(tracked_instance& instance, attempt_outcome outcome,
                     const std::string& told_by, millis now);
   void CountSuspects();
+  void AssignHomes();
   void AddRecentOutcome(instance_key key, attempt_outcome outcome, millis work,
                         millis now);
   void SubtractLoad(const peer_state& peer);
 
   const std::string zone_;
+  double ring_position_ = 0;
+  size_t zone_nodes_ = 1;  ///< Live nodes in this zone, with this one.
   random_bits random_;
   std::unordered_map<instance_key, tracked_instance> instances_;
   std::map<std::string, std::vector<tracked_instance*>, std::less<>>
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -180,7 +180,7 @@
   const auto control = std::make_shared<exchange_control>();
   state_.exchange = control;
   node_.selector.Begin(key);
-  node_.on_load_change(load_change::kSlotTaken);
+  node_.on_load_change(load_change::kSlotTaken, key);
   asio::steady_timer slow_timer(node_.context,
                                 ToChrono(attempt.choice.slow_after));
   slow_timer.async_wait([this, key, control](const error_code& failure) {
@@ -207,8 +207,8 @@
   node_.LogHealthChanges();
   const bool succeeded =
       outcome == attempt_outcome::kOk || outcome == attempt_outcome::kUnknown;
-  node_.on_load_change(succeeded ? load_change::kSlotFreed
-                                 : load_change::kUrgent);
+  node_.on_load_change(
+      succeeded ? load_change::kSlotFreed : load_change::kUrgent, key);
 }
 
 // The instance of a slow attempt may never answer, so an idempotent request
@@ -218,7 +218,7 @@
   const millis now = boot_clock::Now();
   node_.selector.NoteEarlyOutcome(key, attempt_outcome::kSlow, now);
   node_.LogHealthChanges();
-  node_.on_load_change(load_change::kUrgent);
+  node_.on_load_change(load_change::kUrgent, key);
   const bool can_retry =
       route_->idempotent && instances_sent_to_ + 1 < route_->max_attempts &&
       work_deadline_ - now > kMinAttemptTime &&
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -48,7 +48,9 @@
   metrics counters;
   fleet_retry_budget retries;
   std::set<caller_session*> sessions;  ///< Open caller connections.
-  std::function<void(load_change)> on_load_change = [](load_change) {};
+  /// Called with the instance that the change concerns, 0 if none.
+  std::function<void(load_change, instance_key)> on_load_change =
+      [](load_change, instance_key) {};
   /// Returns the address of a peer that reads the store, if one is known.
   std::function<std::optional<std::string>()> find_store_reader = [] {
     return std::optional<std::string>();
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -33,6 +33,9 @@
 // count the freed slot as still taken.
 constexpr millis kSameZoneDelay(50);
 constexpr millis kOtherZonesDelay(250);  // the time of a typical request
+// With more nodes in other zones than this, they are told of loads by
+// heartbeats alone.
+constexpr size_t kMaxNodesForLoads = 96;
 
 uint32_t RelayKeyOf(const udp::endpoint& remote) {
   return NodeKeyOf(ToText({remote.address().to_string(), remote.port()}));
@@ -55,7 +58,9 @@
 
 void peer_reporter::Start(std::function<void(const std::string&)> on_ahead) {
   on_ahead_ = std::move(on_ahead);
-  node_->on_load_change = [this](load_change change) { OnLoadChange(change); };
+  node_->on_load_change = [this](load_change change, instance_key key) {
+    OnLoadChange(change, key);
+  };
   node_->must_read_store = [this] { return MustReadStore(); };
   node_->find_store_reader = [this] { return FindStoreReader(); };
   // The coroutines keep this object alive until the loop has ended.
@@ -93,63 +98,120 @@
 // Without this report, nodes that restart together would detect outliers and
 // count their retries alone until the next heartbeat.
 void peer_reporter::Greet(const udp::endpoint& remote) {
-  SendTo(remote, MakeDatagram(recipients::kAll, boot_clock::Now()));
+  SendTo(remote, MakeDatagram(report_content::kWithUsage, boot_clock::Now()));
 }
 
-void peer_reporter::AnnounceLeaving() { Send(recipients::kAll); }
+void peer_reporter::AnnounceLeaving() {
+  Send(recipients::kAll, report_content::kWithUsage);
+}
 
-// Requests stay in their zone while loads are equal, so the nodes of this zone
-// are told at once of every attempt that begins. Traffic to other zones costs
-// money, so their nodes are told at once only of urgent changes.
-void peer_reporter::OnLoadChange(load_change change) {
+// The nodes that use the same instance are told at once of every attempt that
+// begins; the others learn of it from a heartbeat. Failures and changes of the
+// store's records are told to all: directly in the own zone, and by relays in
+// the others, since traffic between zones costs money.
+void peer_reporter::OnLoadChange(load_change change, instance_key key) {
+  const auto send_to_zone = [this]() { ReportFreedSlots(); };
+  const auto send_to_others = [this]() {
+    Send(recipients::kOtherZones, report_content::kLoad);
+  };
   switch (change) {
     case load_change::kUrgent:
-      Send(recipients::kLive);
+      Send(recipients::kZone, report_content::kWithUsage);
+      Send(recipients::kOtherZones, report_content::kWithUsage);
       return;
     case load_change::kSlotTaken:
-      Send(recipients::kZone);
-      SendSoon(other_zones_report_, recipients::kOtherZones, kOtherZonesDelay);
-      return;
+      SendToUsersOf(key);
+      break;
     case load_change::kSlotFreed:
-      SendSoon(same_zone_report_, recipients::kZone, kSameZoneDelay);
-      SendSoon(other_zones_report_, recipients::kOtherZones, kOtherZonesDelay);
-      return;
+      freed_.push_back(key);
+      SendSoon(same_zone_report_, kSameZoneDelay, send_to_zone);
+      break;
+  }
+  const bool is_other_zone = !node_->selector.HomeOf(key);
+  if (is_other_zone || nodes_in_other_zones_ <= kMaxNodesForLoads) {
+    SendSoon(other_zones_report_, kOtherZonesDelay, send_to_others);
+  }
+}
+
+void peer_reporter::SendToUsersOf(instance_key key) {
+  const std::optional<home_range> home = node_->selector.HomeOf(key);
+  if (!home) {
+    return;
+  }
+  const millis now = boot_clock::Now();
+  const std::string datagram = MakeDatagram(report_content::kLoad, now);
+  for (const auto& [remote, state] : peers_) {
+    if (Includes(recipients::kZone, state, now) &&
+        home->Contains(ring_.PositionOf(state.relay_key))) {
+      SendTo(remote, datagram);
+    }
+  }
+}
+
+void peer_reporter::ReportFreedSlots() {
+  const millis now = boot_clock::Now();
+  std::vector<home_range> homes;
+  for (const instance_key key : std::exchange(freed_, {})) {
+    if (const auto home = node_->selector.HomeOf(key)) {
+      homes.push_back(*home);
+    }
+  }
+  if (homes.empty()) {
+    return;
+  }
+  const std::string datagram = MakeDatagram(report_content::kLoad, now);
+  for (const auto& [remote, state] : peers_) {
+    const double position = ring_.PositionOf(state.relay_key);
+    const bool uses_one =
+        std::any_of(homes.begin(), homes.end(), [position](const auto& home) {
+          return home.Contains(position);
+        });
+    if (Includes(recipients::kZone, state, now) && uses_one) {
+      SendTo(remote, datagram);
+    }
   }
 }
 
-void peer_reporter::SendSoon(delayed_report& report, recipients to,
-                             millis delay) {
+void peer_reporter::SendSoon(delayed_report& report, millis delay,
+                             std::function<void()> send) {
   if (report.is_armed) {
     return;
   }
   report.is_armed = true;
   report.timer.expires_after(ToChrono(delay));
-  report.timer.async_wait([this, &report, to](const error_code& failure) {
-    report.is_armed = false;
-    if (!failure) {
-      Send(to);
-    }
-  });
+  report.timer.async_wait(
+      [&report, send = std::move(send)](const error_code& failure) {
+        report.is_armed = false;
+        if (!failure) {
+          send();
+        }
+      });
+}
+
+// Nodes of other zones are heard directly only once in several heartbeats.
+bool peer_reporter::IsLive(const peer_state& state, millis now) const {
+  const int intervals = state.zone == zone_ ? 1 : schedule_.intervals();
+  return now - state.heard_at < kLiveTimeout * intervals;
 }
 
 // Silent nodes get only heartbeats, since they may be gone for good.
 bool peer_reporter::Includes(recipients to, const peer_state& state,
                              millis now) const {
-  const bool is_live = now - state.heard_at < kLiveTimeout;
   switch (to) {
     case recipients::kZone:
-      return is_live && state.zone == zone_;
+      return state.zone == zone_ && IsLive(state, now);
     case recipients::kOtherZones:
-      return is_live && state.zone != zone_;
-    case recipients::kLive:
-      return is_live;
+      return state.zone != zone_ && IsLive(state, now);
+    case recipients::kHeartbeat:
+      return state.zone == zone_ || schedule_.IsDue(state.relay_key);
     case recipients::kAll:
       return true;
   }
   return true;
 }
 
-std::string peer_reporter::MakeDatagram(recipients to, millis now) {
+std::string peer_reporter::MakeDatagram(report_content content, millis now,
+                                        uint32_t relay_for) {
   load_report report = node_->selector.MakeReport(now);
   report.incarnation = node_->incarnation;
   report.number = ++report_number_;
@@ -157,25 +219,22 @@
   report.leaving = node_->draining;
   report.reads_store = node_->reads_store;
   report.instances_offset = static_cast<uint32_t>(node_->instances_offset);
-  if (to == recipients::kAll || to == recipients::kLive) {
+  report.relay_for = relay_for;
+  if (content == report_content::kWithUsage) {
     report.usage = node_->retries.Usage(now);
   }
   if (const auto routes = node_->routes.Load()) {
     report.config_version = static_cast<uint32_t>(routes->config().version);
   }
-  if (to == recipients::kOtherZones) {
-    report.relay_for = own_relay_key_;
-  }
   return Encode(report, node_->settings.fleet_key);
 }
 
-void peer_reporter::Send(recipients to) {
+void peer_reporter::Send(recipients to, report_content content) {
   const millis now = boot_clock::Now();
-  const std::string datagram = MakeDatagram(to, now);
   if (to == recipients::kOtherZones) {
-    SendToRelays(datagram, now);
+    SendToRelays(MakeDatagram(content, now, own_relay_key_), now);
   } else {
-    SendToEach(to, datagram, now);
+    SendToEach(to, MakeDatagram(content, now), now);
   }
 }
 
@@ -194,10 +253,9 @@
   socket_.send_to(asio::buffer(datagram), to, 0, ignored);
 }
 
-// Traffic between zones costs money, so a routine report is sent once to each
-// other zone, and the receiver relays it within its zone. Heartbeats go to
-// every node directly, so liveness and the retry budget do not depend on
-// relays.
+// Traffic between zones costs money, so a report is sent once to each other
+// zone, and the receiver relays it within its zone. Heartbeats go to the nodes
+// directly, so liveness does not depend on relays.
 void peer_reporter::SendToRelays(std::string_view datagram, millis now) {
   std::vector<const udp::endpoint*> others;
   std::vector<uint16_t> zones;
@@ -236,7 +294,8 @@
 awaitable<void> peer_reporter::SendHeartbeats() {
   const auto executor = socket_.get_executor();
   for (;;) {
-    Send(recipients::kAll);
+    UpdateRing(boot_clock::Now());
+    Send(recipients::kHeartbeat, report_content::kWithUsage);
     co_await Sleep(executor, kHeartbeatInterval);
     const millis now = boot_clock::Now();
     node_->selector.ForgetSilentPeers(now);
@@ -246,10 +305,26 @@
   }
 }
 
+void peer_reporter::UpdateRing(millis now) {
+  std::vector<uint32_t> own_zone;
+  nodes_in_other_zones_ = 0;
+  for (const auto& [remote, state] : peers_) {
+    if (state.zone != zone_) {
+      ++nodes_in_other_zones_;
+    } else if (IsLive(state, now) && !state.leaving) {
+      own_zone.push_back(state.relay_key);
+    }
+  }
+  schedule_.Advance(nodes_in_other_zones_);
+  ring_.Set(own_relay_key_, std::move(own_zone));
+  node_->selector.SetRingPosition(ring_.PositionOf(own_relay_key_),
+                                  ring_.size());
+}
+
 void peer_reporter::CountNodes(millis now) {
   const auto live =
-      std::count_if(peers_.begin(), peers_.end(), [now](const auto& one) {
-        return now - one.second.heard_at < kLiveTimeout;
+      std::count_if(peers_.begin(), peers_.end(), [this, now](const auto& one) {
+        return IsLive(one.second, now);
       });
   const int nodes = 1 + static_cast<int>(live);
   if (nodes != node_->live_nodes) {
@@ -284,8 +359,7 @@
   std::vector<const udp::endpoint*> same_zone;
   std::vector<const udp::endpoint*> any_zone;
   for (const auto& [remote, state] : peers_) {
-    if (now - state.heard_at < kLiveTimeout && state.reads_store &&
-        !state.leaving) {
+    if (IsLive(state, now) && state.reads_store && !state.leaving) {
       any_zone.push_back(&remote);
       if (state.zone == zone_) {
         same_zone.push_back(&remote);
@@ -326,7 +400,7 @@
     }
     const millis now = boot_clock::Now();
     peer_state& state = FindOrAddPeer(*reporter);
-    const bool was_silent = now - state.heard_at >= kLiveTimeout;
+    const bool was_silent = !IsLive(state, now);
     state.heard_at = now;
     state.zone = report.zone;
     state.leaving = report.leaving;
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -10,7 +10,10 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
+#include "balance/heartbeat_schedule.h"
+#include "balance/node_ring.h"
 #include "front/front_node.h"
 #include "platform/awaitable.h"
 
@@ -35,9 +38,13 @@
   enum class recipients {
     kZone,        ///< Live nodes of the own availability zone.
     kOtherZones,  ///< One live node of each other zone, which relays it.
-    kLive,        ///< All live nodes.
+    kHeartbeat,   ///< All nodes of the own zone, those of others in turn.
     kAll,         ///< All known nodes, including silent ones.
   };
+  enum class report_content {
+    kLoad,       ///< The requests in flight and the latest outcomes.
+    kWithUsage,  ///< The use of the retry budget, too.
+  };
   struct peer_state {
     millis heard_at = millis(-1'000'000);
     uint16_t zone = 0;
@@ -53,10 +60,15 @@
 
   awaitable<void> Receive();
   awaitable<void> SendHeartbeats();
-  void OnLoadChange(load_change change);
-  void SendSoon(delayed_report& report, recipients to, millis delay);
-  std::string MakeDatagram(recipients to, millis now);
-  void Send(recipients to);
+  void OnLoadChange(load_change change, instance_key key);
+  void SendToUsersOf(instance_key key);
+  void ReportFreedSlots();
+  void SendSoon(delayed_report& report, millis delay,
+                std::function<void()> send);
+  /// `relay_for` is the key of this node if the report is to be relayed.
+  std::string MakeDatagram(report_content content, millis now,
+                           uint32_t relay_for = 0);
+  void Send(recipients to, report_content content);
   /// Sends a report to a node that is new or no longer silent.
   void Greet(const boost::asio::ip::udp::endpoint& remote);
   peer_state& FindOrAddPeer(const boost::asio::ip::udp::endpoint& remote);
@@ -72,6 +84,9 @@
   void HandleDatagram(const boost::asio::ip::udp::endpoint& sender,
                       std::string_view datagram);
   void CountNodes(millis now);
+  /// Recomputes which nodes of this zone are live and where they stand.
+  void UpdateRing(millis now);
+  [[nodiscard]] bool IsLive(const peer_state& state, millis now) const;
   [[nodiscard]] std::optional<std::string> FindStoreReader() const;
   [[nodiscard]] bool MustReadStore() const;
   [[nodiscard]] bool IsAhead(const load_report& report) const;
@@ -82,6 +97,10 @@
   delayed_report other_zones_report_;
   const uint16_t zone_;
   const uint32_t own_relay_key_;
+  node_ring ring_;
+  heartbeat_schedule schedule_;
+  size_t nodes_in_other_zones_ = 0;  ///< Silent ones included.
+  std::vector<instance_key> freed_;  ///< To be reported by same_zone_report_.
   uint32_t report_number_ = 0;
   std::map<boost::asio::ip::udp::endpoint, peer_state> peers_;
   std::unordered_map<uint32_t, boost::asio::ip::udp::endpoint> remotes_by_key_;
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -103,7 +103,7 @@
       node_->log.Write(
           "config_in_force",
           {{"version", version}, {"before", old_version}, {"routes", routes}});
-      node_->on_load_change(load_change::kUrgent);
+      node_->on_load_change(load_change::kUrgent, 0);
     } catch (const codec_error& failure) {
       node_->log.Write("config_refused", {{"error", failure.what()}});
     }
@@ -267,7 +267,7 @@
   for (const instance_entry& entry : entries) {
     draining += entry.draining ? 1 : 0;
   }
-  node_->on_load_change(load_change::kUrgent);
+  node_->on_load_change(load_change::kUrgent, 0);
   node_->log.Write("instances_changed",
                    {{"instances", entries.size()},
                     {"draining", draining},
