Records of the store are read and announced only when they change

Cause: instances renew their entries every 1.5 s. Each renewal moved the offset in the reports, so every node read it from a peer, often of another zone, and each node that applied a change announced it to all nodes. At 291 nodes one change made 291 announcements of some 290 datagrams.

Change: reports carry the offset of the last change to the instances. Only a node that read the store announces a change. A node waits 300 ms for the readers of its own zone before it reads from another zone. One node of a zone reads the store while two of other zones do, else two as before. Peers are ranked by the key they have instead of a hash computed for each check.

--- a/balance/reader_choice.cc
+++ b/balance/reader_choice.cc
@@ -4,7 +4,12 @@
 
 namespace {
 
-constexpr int kReadersPerZone = 2;
+// While the reader of a zone is silent, its nodes learn of changes from the
+// readers of other zones.
+constexpr int kReadersAlone = 2;
+constexpr int kReadersBesideOthers = 1;
+constexpr int kReadersInOtherZones = 2;
+constexpr millis kOtherZoneReaderTimeout(5'000);
 // Reports come once a second, with some delay. Changes in the store have to
 // reach every node within two seconds, which leaves no time to wait for a
 // second missed report.
@@ -15,12 +20,21 @@
 bool ShouldReadStore(uint64_t own_rank,
                      std::span<const reader_candidate> others, millis now) {
   int readers_ahead = 0;
+  int readers_in_other_zones = 0;
   for (const reader_candidate& other : others) {
     const bool is_reader = other.same_zone && other.reads_store &&
                            now - other.heard_at < kReaderTimeout;
     readers_ahead += is_reader && other.rank < own_rank ? 1 : 0;
+    readers_in_other_zones +=
+        !other.same_zone && other.reads_store &&
+                now - other.heard_at < kOtherZoneReaderTimeout
+            ? 1
+            : 0;
   }
-  return readers_ahead < kReadersPerZone;
+  const int needed = readers_in_other_zones >= kReadersInOtherZones
+                         ? kReadersBesideOthers
+                         : kReadersAlone;
+  return readers_ahead < needed;
 }
 
 }  // namespace peridotarch
--- a/balance/reader_choice.h
+++ b/balance/reader_choice.h
@@ -17,8 +17,9 @@
 };
 
 /// Returns whether this node, of rank `own_rank`, should read the store itself.
-/// Two nodes of each zone do, and the others get the changes from them. A node
-/// that has not heard from two readers lately reads the store as well.
+/// One node of each zone does if two of other zones do, else two nodes, and the
+/// others get the changes from them. A node that has not heard from enough
+/// readers lately reads the store as well.
 bool ShouldReadStore(uint64_t own_rank,
                      std::span<const reader_candidate> others, millis now);
 
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -225,7 +225,7 @@
   });
   asio::co_spawn(context, ReloadOnHangUp(node, settings_path), asio::detached);
   asio::co_spawn(context, ReloadOnChange(node, settings_path), asio::detached);
-  peers->Start([store](const std::string& peer) { store->CatchUp(peer); });
+  peers->Start([store](const peer_ahead& peer) { store->CatchUp(peer); });
   store->Start([peers](const host_port& peer) { peers->AddPeer(peer); });
   const connection_handler serve_admin =
       [node](boost::beast::tcp_stream stream) {
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -32,6 +32,11 @@
       log(settings.node),
       retries(settings.retries) {}
 
+uint64_t front_node::ConfigVersion() const {
+  const auto in_force = routes.Load();
+  return in_force ? in_force->config().version : 0;
+}
+
 bool front_node::Ready() const {
   return !draining && instances_known && routes.Load() != nullptr;
 }
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -59,6 +59,9 @@
   std::function<bool()> must_read_store = [] { return true; };
   /// Offset in the instances topic up to which this node knows the entries.
   uint64_t instances_offset = 0;
+  /// Offset of the last change to the instances that this node knows. Entries
+  /// are renewed all the time without a change.
+  uint64_t instances_changed_at = 0;
   /// Records that this node has read from the store or from a peer.
   store_mirror mirror;
   bool reads_store = false;  ///< The last read of the store succeeded.
@@ -69,6 +72,8 @@
   bool draining = false;
   millis stops_at;  ///< Set while draining: when the process ends.
 
+  /// Returns the version of the configuration in force, 0 if there is none.
+  [[nodiscard]] uint64_t ConfigVersion() const;
   /// Returns whether the node can serve new callers.
   [[nodiscard]] bool Ready() const;
   /// Checks an invariant; a breach is counted and logged with the id of the
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -14,7 +14,6 @@
 #include "balance/reader_choice.h"
 #include "balance/relay_choice.h"
 #include "core/error.h"
-#include "core/hash.h"
 #include "platform/endpoint.h"
 #include "proxy/executor.h"
 
@@ -56,7 +55,7 @@
   socket_.non_blocking(true);
 }
 
-void peer_reporter::Start(std::function<void(const std::string&)> on_ahead) {
+void peer_reporter::Start(std::function<void(const peer_ahead&)> on_ahead) {
   on_ahead_ = std::move(on_ahead);
   node_->on_load_change = [this](load_change change, instance_key key) {
     OnLoadChange(change, key);
@@ -218,14 +217,12 @@
   report.zone = zone_;
   report.leaving = node_->draining;
   report.reads_store = node_->reads_store;
-  report.instances_offset = static_cast<uint32_t>(node_->instances_offset);
+  report.instances_offset = static_cast<uint32_t>(node_->instances_changed_at);
   report.relay_for = relay_for;
   if (content == report_content::kWithUsage) {
     report.usage = node_->retries.Usage(now);
   }
-  if (const auto routes = node_->routes.Load()) {
-    report.config_version = static_cast<uint32_t>(routes->config().version);
-  }
+  report.config_version = static_cast<uint32_t>(node_->ConfigVersion());
   return Encode(report, node_->settings.fleet_key);
 }
 
@@ -335,21 +332,24 @@
   }
 }
 
-bool peer_reporter::IsAhead(const load_report& report) const {
-  const auto routes = node_->routes.Load();
-  return report.config_version > (routes ? routes->config().version : 0) ||
-         report.instances_offset > node_->instances_offset;
+void peer_reporter::CompareRecords(const std::string& name,
+                                   const load_report& report) {
+  if (report.config_version > node_->ConfigVersion() ||
+      report.instances_offset > node_->instances_offset) {
+    on_ahead_({name, report.config_version, report.instances_offset,
+               report.zone != zone_});
+  }
 }
 
 bool peer_reporter::MustReadStore() const {
   std::vector<reader_candidate> others;
   others.reserve(peers_.size());
   for (const auto& [remote, state] : peers_) {
-    others.push_back({Hash64(remote.address().to_string()), state.zone == zone_,
+    others.push_back({state.relay_key, state.zone == zone_,
                       state.reads_store && !state.leaving, state.heard_at});
   }
-  const uint64_t own = Hash64(socket_.local_endpoint().address().to_string());
-  return node_->draining || ShouldReadStore(own, others, boot_clock::Now());
+  return node_->draining ||
+         ShouldReadStore(own_relay_key_, others, boot_clock::Now());
 }
 
 // Prefers peers of this zone. Chooses at random, so that a single peer does not
@@ -414,9 +414,7 @@
     if (was_silent && !report.leaving) {
       Greet(*reporter);
     }
-    if (IsAhead(report)) {
-      on_ahead_(name);
-    }
+    CompareRecords(name, report);
   } catch (const codec_error& failure) {
     node_->counters
         .Counter("reports_refused_total", "Load reports that do not decode.")
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -15,6 +15,7 @@
 #include "balance/heartbeat_schedule.h"
 #include "balance/node_ring.h"
 #include "front/front_node.h"
+#include "front/peer_ahead.h"
 #include "platform/awaitable.h"
 
 namespace peridotarch {
@@ -24,9 +25,9 @@
  public:
   explicit peer_reporter(std::shared_ptr<front_node> node);
 
-  /// Starts to send and receive reports. Calls `on_ahead` with the address of
-  /// a peer that knows newer records of the store than this node.
-  void Start(std::function<void(const std::string&)> on_ahead);
+  /// Starts to send and receive reports. Calls `on_ahead` with a peer that
+  /// knows newer records of the store than this node.
+  void Start(std::function<void(const peer_ahead&)> on_ahead);
   /// Adds a node that announced itself in the store.
   void AddPeer(const host_port& address);
   /// Sends a report that says that this node is leaving. The node must already
@@ -81,6 +82,7 @@
       std::string_view datagram);
   [[nodiscard]] bool Includes(recipients to, const peer_state& state,
                               millis now) const;
+  void CompareRecords(const std::string& name, const load_report& report);
   void HandleDatagram(const boost::asio::ip::udp::endpoint& sender,
                       std::string_view datagram);
   void CountNodes(millis now);
@@ -89,7 +91,6 @@
   [[nodiscard]] bool IsLive(const peer_state& state, millis now) const;
   [[nodiscard]] std::optional<std::string> FindStoreReader() const;
   [[nodiscard]] bool MustReadStore() const;
-  [[nodiscard]] bool IsAhead(const load_report& report) const;
 
   const std::shared_ptr<front_node> node_;
   boost::asio::ip::udp::socket socket_;
@@ -104,7 +105,7 @@
   uint32_t report_number_ = 0;
   std::map<boost::asio::ip::udp::endpoint, peer_state> peers_;
   std::unordered_map<uint32_t, boost::asio::ip::udp::endpoint> remotes_by_key_;
-  std::function<void(const std::string&)> on_ahead_;
+  std::function<void(const peer_ahead&)> on_ahead_;
 };
 
 }  // namespace peridotarch
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -30,6 +30,7 @@
 constexpr millis kStartupRetryDelay(150);       // until this node can serve
 constexpr millis kDelegationPollInterval(250);  // checks if others still read
 constexpr millis kCatchUpPause(30);             // between reads from peers
+constexpr millis kOtherZoneDelay(300);
 constexpr millis kRetryDelay(900);  // even a refused call costs money
 
 endpoint StoreEndpoint(const front_node& node) {
@@ -76,12 +77,13 @@
   }
 }
 
-void store_watch::ApplyConfig(const keyed_page& page) {
+bool store_watch::ApplyConfig(const keyed_page& page) {
   const uint64_t known = next_config_offset_.value_or(0);
   next_config_offset_ = std::max(page.next, known);
   if (page.next < known) {
-    return;
+    return false;
   }
+  bool changed = false;
   node_->mirror.Take(kConfigTopic, page);
   for (const keyed_record& record : page.records) {
     if (record.key != kConfigKey || !record.value) {
@@ -103,11 +105,12 @@
       node_->log.Write(
           "config_in_force",
           {{"version", version}, {"before", old_version}, {"routes", routes}});
-      node_->on_load_change(load_change::kUrgent, 0);
+      changed = true;
     } catch (const codec_error& failure) {
       node_->log.Write("config_refused", {{"error", failure.what()}});
     }
   }
+  return changed;
 }
 
 awaitable<void> store_watch::ReadConfig() {
@@ -124,7 +127,9 @@
     next_config_offset_.reset();
     page = co_await config_client_.Newest(kConfigTopic, kCallTimeout);
   }
-  ApplyConfig(page);
+  if (ApplyConfig(page)) {
+    node_->on_load_change(load_change::kUrgent, 0);
+  }
 }
 
 // Returns a peer that reads the store, else the next seed as long as no other
@@ -172,8 +177,9 @@
   }
 }
 
-// Two nodes of each zone read the store for the others. The others learn of new
-// records from load reports, and read them from the node that reports them.
+// Few nodes read the store for the others. The others learn of new records from
+// load reports, and read them from the node that reports them. They do not
+// announce them again, or each change would make every node write to all.
 bool store_watch::DelegatesReads() const {
   return node_->routes.Load() != nullptr && node_->instances_known &&
          config_reached_ && instances_reached_ &&
@@ -206,7 +212,7 @@
   }
 }
 
-void store_watch::CatchUp(const std::string& peer) {
+void store_watch::CatchUp(const peer_ahead& peer) {
   if (!is_catching_up_) {
     is_catching_up_ = true;
     peer_ahead_ = peer;
@@ -214,11 +220,24 @@
   }
 }
 
+// Traffic between zones costs money, so a node waits for the readers of its own
+// zone before it reads from another.
 awaitable<void> store_watch::ReadFromPeerAhead() {
   const asio::any_io_executor executor = node_->context.get_executor();
-  const endpoint peer{peer_ahead_, node_->settings.control.port};
-  co_await ReadFromPeer(kConfigTopic, peer);
-  co_await ReadFromPeer(kInstanceTopic, peer);
+  if (peer_ahead_.is_other_zone) {
+    co_await Sleep(executor, kOtherZoneDelay);
+  }
+  const endpoint peer{peer_ahead_.address, node_->settings.control.port};
+  if (peer_ahead_.config_version > node_->ConfigVersion()) {
+    co_await ReadFromPeer(kConfigTopic, peer);
+  }
+  if (peer_ahead_.instances_offset > node_->instances_offset) {
+    co_await ReadFromPeer(kInstanceTopic, peer);
+  }
+  if (node_->instances_offset >= peer_ahead_.instances_offset) {
+    node_->instances_changed_at =
+        std::max(node_->instances_changed_at, peer_ahead_.instances_offset);
+  }
   co_await Sleep(executor, kCatchUpPause);
   is_catching_up_ = false;
 }
@@ -256,10 +275,10 @@
   }
 }
 
-void store_watch::PublishInstances() {
+bool store_watch::PublishInstances() {
   const millis now = boot_clock::Now();
   if (!instances_.ApplyPendingRemovals(now)) {
-    return;
+    return false;
   }
   const std::vector<instance_entry> entries = instances_.Entries();
   node_->selector.SetInstances(entries, now);
@@ -267,11 +286,11 @@
   for (const instance_entry& entry : entries) {
     draining += entry.draining ? 1 : 0;
   }
-  node_->on_load_change(load_change::kUrgent, 0);
   node_->log.Write("instances_changed",
                    {{"instances", entries.size()},
                     {"draining", draining},
                     {"offset", next_instances_offset_.value_or(0)}});
+  return true;
 }
 
 awaitable<void> store_watch::ReadInstances() {
@@ -328,7 +347,10 @@
       const endpoint peer = NextMirror();
       co_await ReadFromPeer(kInstanceTopic, peer);
     }
-    PublishInstances();
+    if (PublishInstances()) {
+      node_->instances_changed_at = node_->instances_offset;
+      node_->on_load_change(load_change::kUrgent, 0);
+    }
     co_await Sleep(executor, PauseAfterRead(failed.empty()));
   }
 }
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -9,6 +9,7 @@
 
 #include "balance/instance_list.h"
 #include "front/front_node.h"
+#include "front/peer_ahead.h"
 #include "platform/awaitable.h"
 #include "platform/store_client.h"
 #include "platform/store_records.h"
@@ -25,7 +26,7 @@
   void Start(std::function<void(const host_port&)> on_peer);
   /// Reads the records of a peer that knows newer ones than this node. Does
   /// nothing while an earlier call is in progress.
-  void CatchUp(const std::string& peer);
+  void CatchUp(const peer_ahead& peer);
 
  private:
   void Spawn(awaitable<void> (store_watch::*run)());
@@ -38,10 +39,12 @@
   [[nodiscard]] endpoint NextMirror();
   awaitable<void> ReadConfig();
   awaitable<void> ReadInstances();
-  void ApplyConfig(const keyed_page& page);
+  /// Returns whether a newer configuration came into force.
+  bool ApplyConfig(const keyed_page& page);
   void ApplyInstances(const keyed_page& page);
   [[nodiscard]] bool DelegatesReads() const;
-  void PublishInstances();
+  /// Returns whether the instances have changed.
+  bool PublishInstances();
   [[nodiscard]] millis PauseAfterRead(bool reached) const;
   void NoteStoreCall(bool reached, const std::string& call,
                      const std::string& detail);
@@ -54,7 +57,7 @@
   std::optional<uint64_t> next_instances_offset_;
   instance_list instances_;
   bool is_catching_up_ = false;
-  std::string peer_ahead_;          ///< Knows newer records than this node.
+  peer_ahead peer_ahead_;
   bool store_reached_ = true;       ///< The last call to the store succeeded.
   bool config_reached_ = true;      ///< The last read of the topic succeeded.
   bool instances_reached_ = true;   ///< The last read of the topic succeeded.
