Answers without end are bounded in bytes

Cause: an answer could take 64 MB, a chunk header, a chunk extension or trailers any number of bytes, and informational answers never ended, so one gray instance could take the memory of a node of 160 MB within a deadline: 338 MB for a chunk extension, 222 MB for twelve endless bodies at once.

Change: a body may have 16 MB and all bodies that are being read 48 MB; bytes that are read but not parsed 256 kB; eight informational answers. The connection is closed, the attempt counts as broken and may have run. A caller that does not read its answers stops its further requests at 1 MB.

One byte at a time is bounded by the deadline, as before.

--- a/front/caller_session.cc
+++ b/front/caller_session.cc
@@ -25,6 +25,7 @@
 // takes from others.
 constexpr size_t kMaxQueued = 8;
 constexpr int kMaxServedAtOnce = 4;
+constexpr size_t kMaxUnwrittenBytes = 1 << 20;  // of answers to slow readers
 
 }  // namespace
 
@@ -159,12 +160,14 @@
 // then knows which of them may have run.
 void caller_session::StartRequests() {
   int served_now = 0;
+  size_t unwritten_bytes = 0;
   const auto pending = queue_;
   for (const auto& one : pending) {
     const bool is_first = one == pending.front();
     if (!one->is_started) {
       if ((!is_first && !one->is_idempotent) ||
-          served_now >= kMaxServedAtOnce) {
+          served_now >= kMaxServedAtOnce ||
+          unwritten_bytes > kMaxUnwrittenBytes) {
         return;
       }
       one->is_started = true;
@@ -177,6 +180,7 @@
       return;
     }
     served_now += one->answer ? 0 : 1;
+    unwritten_bytes += one->answer ? one->answer->body().size() : 0;
   }
 }
 
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -26,8 +26,6 @@
 
 namespace {
 
-using answer_parser = http::response_parser<http::string_body>;
-
 // Connecting within a zone takes 1 ms. The first retransmission of a lost SYN
 // comes after 1 s, too late for most requests.
 constexpr millis kConnectTimeout(300);
@@ -35,8 +33,12 @@
 constexpr millis kIdleCloseMargin(1'000);  // before the instance closes
 constexpr size_t kMaxIdlePerInstance = 4;
 constexpr uint32_t kMaxAnswerHeader = 64 << 10;
-constexpr uint64_t kMaxAnswerBody = 64 << 20;
+constexpr uint64_t kMaxAnswerBody = 16 << 20;
+// Of all bodies that are being read, since a gray instance may send bytes
+// without end. The smallest machines have 160 MB.
+constexpr uint64_t kMaxBytesInRead = 48 << 20;
 constexpr int kInformationalClass = 1;  // 1xx
+constexpr int kMaxInformationalAnswers = 8;
 constexpr int kMaxStrayAnswers = 3;
 
 std::string ConnectionKey(const instance_entry& instance) {
@@ -72,12 +74,13 @@
                     });
 }
 
-// Reads the next answer on the connection, past informational (1xx) ones.
-awaitable<error_code> ReadAnswer(instance_connection& connection,
-                                 std::optional<answer_parser>& parser,
-                                 read_progress& progress) {
+// Reads the head of the next answer on the connection, past informational (1xx)
+// ones.
+template <typename Parser>
+awaitable<error_code> ReadAnswerHead(instance_connection& connection,
+                                     std::optional<Parser>& parser) {
   error_code failure;
-  do {
+  for (int read = 0; read <= kMaxInformationalAnswers; ++read) {
     parser.emplace();
     parser->body_limit(kMaxAnswerBody);
     parser->header_limit(kMaxAnswerHeader);
@@ -85,14 +88,11 @@
     co_await http::async_read_header(
         connection.stream, connection.buffer, *parser,
         asio::redirect_error(asio::use_awaitable, failure));
-  } while (!failure && parser->get().result_int() / 100 == kInformationalClass);
-  if (failure) {
-    co_return failure;
+    if (failure || parser->get().result_int() / 100 != kInformationalClass) {
+      co_return failure;
+    }
   }
-  progress = read_progress::kPart;
-  co_await http::async_read(connection.stream, connection.buffer, *parser,
-                            asio::redirect_error(asio::use_awaitable, failure));
-  co_return failure;
+  co_return http::make_error_code(http::error::unexpected_body);
 }
 
 }  // namespace
@@ -149,6 +149,26 @@
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+awaitable<error_code> connection_pool::ReadBody(
+    instance_connection& connection, answer_parser& parser) {
+  error_code failure;
+  uint64_t bytes = 0;
+  while (!failure && !parser.is_done()) {
+    co_await http::async_read_some(
+        connection.stream, connection.buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    const uint64_t now_read = parser.get().body().size();
+    bytes_in_read_ += now_read - bytes;
+    bytes = now_read;
+    peak_bytes_in_read_ = std::max(peak_bytes_in_read_, bytes_in_read_);
+    if (bytes_in_read_ > kMaxBytesInRead) {
+      failure = http::make_error_code(http::error::body_limit);
+    }
+  }
+  bytes_in_read_ -= bytes;
+  co_return failure;
+}
+
 awaitable<exchange_result> connection_pool::Exchange(
     exchange_params params, exchange_control& control) {
   exchange_result result;
@@ -177,7 +197,11 @@
   std::optional<answer_parser> parser;
   error_code failure;
   for (int stray_answers = 0;; ++stray_answers) {
-    failure = co_await ReadAnswer(*connection, parser, result.summary.read);
+    failure = co_await ReadAnswerHead(*connection, parser);
+    if (!failure) {
+      result.summary.read = read_progress::kPart;
+      failure = co_await ReadBody(*connection, *parser);
+    }
     if (failure || stray_answers == kMaxStrayAnswers ||
         AnswersRequest(parser->get(), params.id)) {
       break;
--- a/front/connection_pool.h
+++ b/front/connection_pool.h
@@ -2,6 +2,9 @@
 #define FRONT_CONNECTION_POOL_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -57,18 +60,30 @@
   awaitable<exchange_result> Exchange(exchange_params params,
                                       exchange_control& control);
 
+  /// Returns the most bytes of answers that were in memory while being read.
+  [[nodiscard]] uint64_t peak_bytes_in_read() const {
+    return peak_bytes_in_read_;
+  }
+
   /// Closes connections that have been idle for too long.
   void CloseIdle(millis now);
 
  private:
   using connection_ptr = std::shared_ptr<instance_connection>;
 
+  using answer_parser = boost::beast::http::response_parser<
+      boost::beast::http::string_body>;
+
+  awaitable<boost::system::error_code> ReadBody(instance_connection& connection,
+                                                answer_parser& parser);
   connection_ptr TakeIdle(const instance_entry& instance, millis max_idle_time);
   /// Returns how many idle connections to the instance are kept.
   int KeepIdle(const instance_entry& instance, connection_ptr connection);
 
   boost::asio::io_context& context_;
   std::unordered_map<std::string, std::vector<connection_ptr>> idle_;
+  uint64_t bytes_in_read_ = 0;  ///< Of all answers that are being read.
+  uint64_t peak_bytes_in_read_ = 0;
 };
 
 }  // namespace peridotarch
--- a/front/instance_connection.h
+++ b/front/instance_connection.h
@@ -14,7 +14,10 @@
 class instance_connection {
  public:
   explicit instance_connection(boost::asio::io_context& context)
-      : stream(context) {}
+      : stream(context), buffer(kMaxBuffered) {}
+
+  /// Bytes that are read but not parsed, such as a chunk header without end.
+  static constexpr size_t kMaxBuffered = 256 << 10;
 
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -153,18 +153,28 @@
   http_response SendRequest(boost::beast::http::verb method,
                             const std::string& target,
                             const std::string& id = "r1") {
+    http_response answer;
+    bool done = false;
+    StartRequest(method, target, id, [&](const http_response& received) {
+      answer = received;
+      done = true;
+    });
+    RunUntil([&done] { return done; });
+    return answer;
+  }
+
+  /// Sends a request as a caller; calls `on_answer` with the answer.
+  void StartRequest(boost::beast::http::verb method, const std::string& target,
+                    const std::string& id,
+                    std::function<void(const http_response&)> on_answer) {
     http_request request(method, target, 11);
     if (!id.empty()) {
       request.set("X-Request-Id", id);
     }
     request.set("X-Deadline-Ms", "900");
-    http_response answer;
-    bool done = false;
-    boost::asio::co_spawn(context,
-                          SendAndRead(std::move(request), answer, done),
-                          boost::asio::detached);
-    RunUntil([&done] { return done; });
-    return answer;
+    boost::asio::co_spawn(
+        context, SendAndRead(std::move(request), std::move(on_answer)),
+        boost::asio::detached);
   }
 
   /// Runs the event loop until `done` returns true, for at most two seconds.
@@ -195,8 +205,9 @@
     }
   }
 
-  awaitable<void> SendAndRead(http_request request, http_response& answer,
-                              bool& done) {
+  awaitable<void> SendAndRead(
+      http_request request,
+      std::function<void(const http_response&)> on_answer) {
     boost::beast::tcp_stream stream(context);
     co_await stream.async_connect(acceptor_->local_endpoint(),
                                   boost::asio::use_awaitable);
@@ -205,9 +216,10 @@
     co_await boost::beast::http::async_write(stream, request,
                                              boost::asio::use_awaitable);
     boost::beast::flat_buffer buffer;
+    http_response answer;
     co_await boost::beast::http::async_read(stream, buffer, answer,
                                             boost::asio::use_awaitable);
-    done = true;
+    on_answer(answer);
   }
 
   fleet_config config_;
