A timeout of a request with little time says nothing of an instance's health

Change: an attempt counts against the instance only if it lasted as long as a slow one; where the time left is shorter than four times the expected time, that is near its end. An instance that has failed a trial is gray, and as a last resort gets only requests that can be retried; others are refused with Retry-After instead of being lost there.

Tests: call_test "a request with less time than its work ...", instance_selector_test "all instances gray ...".

--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -11,6 +11,9 @@
 constexpr millis kPeerTimeout(2'500);   // two missed reports a second apart
 // Work times vary widely: one healthy request in a hundred takes longer.
 constexpr double kSlowFactor = 4;
+// If the time left is shorter, an attempt counts as slow near its end.
+constexpr double kMinSlowFactor = 2;
+constexpr double kSlowTimeShare = 0.9;
 constexpr millis kMinSlowAfter(250);
 constexpr double kColdFactor = 2;  // a cold instance takes twice as long
 // The nodes that use an instance hear of a trial at once, and other nodes only
@@ -228,8 +231,11 @@
   choice.work_rounds = WorkRounds(instance);
   const double expected = ExpectedMs(instance, limits, now);
   choice.expected = millis(static_cast<int64_t>(expected));
-  choice.slow_after = std::max(
-      kMinSlowAfter, millis(static_cast<int64_t>(kSlowFactor * expected)));
+  const double slow_ms =
+      std::clamp(kSlowTimeShare * limits.time_left, kMinSlowFactor * expected,
+                 kSlowFactor * expected);
+  choice.slow_after =
+      std::max(kMinSlowAfter, millis(static_cast<int64_t>(slow_ms)));
   return choice;
 }
 
@@ -263,7 +269,11 @@
       }
       if (instance->HasRoom()) {
         const bool sheds = instance->health.cause() == attempt_outcome::kShed;
-        (sheds ? options.shedding : options.other_suspects).push_back(instance);
+        const bool is_gray = instance->health.has_failed_trial();
+        (sheds     ? options.shedding
+         : is_gray ? options.gray
+                   : options.other_suspects)
+            .push_back(instance);
       }
       continue;
     }
@@ -286,7 +296,8 @@
 // suspects that shed go before suspects that fail. A caller that has already
 // waited for a failed attempt is served late rather than not at all, and late
 // instances go before failing ones, since two gray instances would use up its
-// attempts.
+// attempts. An instance that has failed a trial fails most requests: one that
+// cannot be retried is refused rather than lost there.
 instance_choice instance_selector::Choose(const choice_request& request,
                                           millis now) {
   const auto found = by_service_.find(request.service);
@@ -321,6 +332,10 @@
   if (tracked_instance* best = LeastLoaded(options.other_suspects, request, now)) {
     return MakeChoice(*best, choice_basis::kLastResort, limits, now);
   }
+  tracked_instance* gray = LeastLoaded(options.gray, request, now);
+  if (gray != nullptr && request.is_retryable) {
+    return MakeChoice(*gray, choice_basis::kLastResort, limits, now);
+  }
   none.basis = choice_basis::kOverload;
   const double until_capacity =
       options.shortest_ms - limits.in_time_most_urgent;
--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -190,6 +190,8 @@
     std::vector<tracked_instance*> late;
     /// Suspects with room that shed load.
     std::vector<tracked_instance*> shedding;
+    /// Suspects with room that have failed a trial.
+    std::vector<tracked_instance*> gray;
     /// Other suspects with room.
     std::vector<tracked_instance*> other_suspects;
     /// Least expected latency of an instance that is not suspect, in ms.
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -49,6 +49,16 @@
                            attempt.choice.work_rounds));
 }
 
+// Returns what the attempt says of the instance's health. An attempt that had
+// less time than a healthy instance may need says nothing when it runs out.
+attempt_outcome HealthOutcome(const attempt_record& attempt) {
+  const attempt_outcome outcome = attempt.classification.outcome;
+  const bool was_cut_short = attempt.latency < attempt.choice.slow_after;
+  return outcome == attempt_outcome::kSlow && was_cut_short
+             ? attempt_outcome::kUnknown
+             : outcome;
+}
+
 class request_handler {
  public:
   request_handler(front_node& node, http_request request, caller_request& state)
@@ -196,7 +206,7 @@
   if (was_slow && attempt.classification.outcome == attempt_outcome::kOk) {
     attempt.classification.outcome = attempt_outcome::kUnknown;
   }
-  const attempt_outcome outcome = attempt.classification.outcome;
+  const attempt_outcome outcome = HealthOutcome(attempt);
   const millis now = boot_clock::Now();
   node_.selector.End(key, outcome, InstanceWorkTime(attempt), now,
                      KeyOf(route_->name));
--- a/tests/balance/instance_selector_test.cc
+++ b/tests/balance/instance_selector_test.cc
@@ -178,6 +178,23 @@
         choice_basis::kLastResort);
 }
 
+// Of 100 requests that cannot be retried, 88 were lost at such an instance.
+TEST_CASE("all instances gray: only requests that can be retried go to them") {
+  selector_fleet fleet(1);
+  fleet.SetInstances(MakeEntries(3, "ledger"), kStart);
+  const millis trial_at = kStart + millis(2'000);
+  for (const char* id : {"ledger-0", "ledger-1", "ledger-2"}) {
+    FailOnce(fleet, 0, KeyOf(id), kStart);
+    FailOnce(fleet, 0, KeyOf(id), trial_at);
+  }
+  CHECK(fleet[0].Choose(MakeRequest("ledger", true), trial_at).basis ==
+        choice_basis::kLastResort);
+  const instance_choice refused =
+      fleet[0].Choose(MakeRequest("ledger"), trial_at);
+  CHECK(refused.basis == choice_basis::kOverload);
+  CHECK(refused.retry_after > millis(0));
+}
+
 TEST_CASE(
     "many users at once: nodes that report their load to each other fill "
     "slots evenly") {
--- a/tests/front/call_test.cc
+++ b/tests/front/call_test.cc
@@ -157,6 +157,25 @@
   CHECK(elapsed <= millis(1'150));  // 250 ms past the deadline
 }
 
+// Requests with little time left made most instances of a service suspect.
+TEST_CASE("a request with less time than its work says nothing of health") {
+  front_world world;
+  const bool is_long = GENERATE(true, false);
+  world.AddRoute("/tally/", false, millis(is_long ? 2'000 : 100));
+  boost::asio::ip::tcp::acceptor silent(
+      world.context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  instance_entry entry;
+  entry.id = "i-silent";
+  entry.service = "s";
+  entry.address = "127.0.0.1";
+  entry.zone = "a";
+  entry.port = silent.local_endpoint().port();
+  entry.slots = 3;
+  world.AddEntry(entry);
+  CHECK(world.SendRequest(verb::put, "/tally/1").result_int() == 504);
+  CHECK(world.node->selector.suspects() == (is_long ? 0 : 1));
+}
+
 TEST_CASE(
     "silent instance: an idempotent request is retried at another instance "
     "within its deadline") {
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -112,14 +112,15 @@
   }
 
   /// Adds a route from the paths below `prefix` to service "s".
-  void AddRoute(const std::string& prefix, bool idempotent) {
+  void AddRoute(const std::string& prefix, bool idempotent,
+                millis objective = millis(100)) {
     host_route route;
     route.name = prefix;
     route.host = "box.example";
     route.prefix = prefix;
     route.idempotent = idempotent;
     route.timeout = millis(1'000);
-    route.latency_objective = millis(100);
+    route.latency_objective = objective;
     route.max_attempts = 2;
     route.services = {{"s", 1}};
     config_.version += 1;
