Changed records spread through a zone instead of being read at one node

A node that had missed one change got all entries, since renewals had pushed the change out of the mirror's list. Configurations took up to 1.7 s to be in force.

Change: the mirror leaves out renewals. Nodes read a change in turns of 4 ms a node, at the node that announced it last; a node that has read it tells three others. A caller that was refused because an instance shed at random, with slots free, may return after 150 ms instead of 500.

Tests: store_test "many instances: a mirror does not pass on renewals ..." (fails before: two items), call_test "random shedding ..." (fails before: 0.25 s or more).

--- a/balance/instance.h
+++ b/balance/instance.h
@@ -23,6 +23,8 @@
   millis warmup_left;      ///< How long it stays slow from now on.
   int64_t started_at = 0;  ///< Wall clock of its start in ms; 0: unknown.
   int64_t sequence = 0;    ///< Increases with each update since the start.
+
+  bool operator==(const instance_entry&) const = default;
 };
 
 /// What the end of an attempt shows about the instance.
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -31,6 +31,9 @@
 constexpr millis kMaxIdleTime(3'000);
 constexpr millis kNoInstanceRetryAfter(800);  // entries renew every 1.5 s
 constexpr millis kDefaultRetryAfter(500);
+// An instance that sheds although it has free slots sheds at random, so the
+// next attempt may well succeed.
+constexpr millis kRandomShedRetryAfter(150);
 
 /// One attempt at one instance.
 struct attempt_record {
@@ -381,7 +384,11 @@
 http_response request_handler::Fail(const attempt_record& attempt) {
   const reason why = FailureReason(attempt);
   if (possible_runs_ == 0) {
-    return Refuse(why, Jitter(kDefaultRetryAfter));
+    const bool had_room =
+        attempt.choice.in_flight < attempt.choice.instance.slots;
+    return Refuse(why, Jitter(why == reason::kUpstreamShed && had_room
+                                  ? kRandomShedRetryAfter
+                                  : kDefaultRetryAfter));
   }
   // An earlier attempt may have run even if the last one did not, so the
   // answer must not state that the request did not run.
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -29,6 +29,7 @@
   kSlotTaken,  ///< An attempt began and takes a slot.
   kSlotFreed,  ///< An attempt ended without a failure.
   kUrgent,     ///< An instance may be unhealthy, or store records changed.
+  kCaughtUp,   ///< This node has read changed records at a peer.
 };
 
 /// State that the parts of one node share. All of them run on one thread.
@@ -67,6 +68,7 @@
   bool reads_store = false;  ///< The last read of the store succeeded.
   /// Nodes of the fleet with a recent report, including this one.
   int live_nodes = 1;
+  int live_nodes_in_zone = 1;  ///< Those of the own zone.
   int in_flight = 0;  ///< Requests of callers.
   bool instances_known = false;
   bool draining = false;
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -32,6 +32,7 @@
 // count the freed slot as still taken.
 constexpr millis kSameZoneDelay(50);
 constexpr millis kOtherZonesDelay(250);  // the time of a typical request
+constexpr int kCaughtUpReports = 3;
 // With more nodes in other zones than this, they are told of loads by
 // heartbeats alone.
 constexpr size_t kMaxNodesForLoads = 96;
@@ -118,6 +119,9 @@
       Send(recipients::kZone, report_content::kWithUsage);
       Send(recipients::kOtherZones, report_content::kWithUsage);
       return;
+    case load_change::kCaughtUp:
+      SendToSome();
+      return;
     case load_change::kSlotTaken:
       SendToUsersOf(key);
       break;
@@ -132,6 +136,21 @@
   }
 }
 
+// The nodes that still wait to read the change can then do so here.
+void peer_reporter::SendToSome() {
+  const millis now = boot_clock::Now();
+  std::vector<const udp::endpoint*> own_zone;
+  for (const auto& [remote, state] : peers_) {
+    if (Includes(recipients::kZone, state, now)) {
+      own_zone.push_back(&remote);
+    }
+  }
+  const std::string datagram = MakeDatagram(report_content::kLoad, now);
+  for (int i = 0; i < kCaughtUpReports && !own_zone.empty(); ++i) {
+    SendTo(*own_zone[node_->random.Below(own_zone.size())], datagram);
+  }
+}
+
 void peer_reporter::SendToUsersOf(instance_key key) {
   const std::optional<home_range> home = node_->selector.HomeOf(key);
   if (!home) {
@@ -314,6 +333,7 @@
   }
   schedule_.Advance(nodes_in_other_zones_);
   ring_.Set(own_relay_key_, std::move(own_zone));
+  node_->live_nodes_in_zone = static_cast<int>(ring_.size());
   node_->selector.SetRingPosition(ring_.PositionOf(own_relay_key_),
                                   ring_.size());
 }
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -62,6 +62,7 @@
   awaitable<void> Receive();
   awaitable<void> SendHeartbeats();
   void OnLoadChange(load_change change, instance_key key);
+  void SendToSome();
   void SendToUsersOf(instance_key key);
   void ReportFreedSlots();
   void SendSoon(delayed_report& report, millis delay,
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -31,6 +31,9 @@
 constexpr millis kDelegationPollInterval(250);  // checks if others still read
 constexpr millis kCatchUpPause(30);             // between reads from peers
 constexpr millis kOtherZoneDelay(300);
+// Nodes of a zone read a change one after the other, most of them at nodes that
+// have just read it, so that the reader's link does not delay them all.
+constexpr millis kCatchUpSpreadPerNode(4);
 constexpr millis kRetryDelay(900);  // even a refused call costs money
 
 endpoint StoreEndpoint(const front_node& node) {
@@ -213,9 +216,13 @@
 }
 
 void store_watch::CatchUp(const peer_ahead& peer) {
+  // While this node waits for its turn, the last peer that has the records is
+  // the one to read: it has had the fewest readers.
+  if (!is_catching_up_ || !peer.is_other_zone || peer_ahead_.is_other_zone) {
+    peer_ahead_ = peer;
+  }
   if (!is_catching_up_) {
     is_catching_up_ = true;
-    peer_ahead_ = peer;
     Spawn(&store_watch::ReadFromPeerAhead);
   }
 }
@@ -224,19 +231,30 @@
 // zone before it reads from another.
 awaitable<void> store_watch::ReadFromPeerAhead() {
   const asio::any_io_executor executor = node_->context.get_executor();
+  const auto spread = static_cast<uint64_t>(
+      (kCatchUpSpreadPerNode * node_->live_nodes_in_zone).count());
+  const millis turn(static_cast<int64_t>(node_->random.Below(spread + 1)));
+  co_await Sleep(executor, turn);
   if (peer_ahead_.is_other_zone) {
     co_await Sleep(executor, kOtherZoneDelay);
   }
-  const endpoint peer{peer_ahead_.address, node_->settings.control.port};
-  if (peer_ahead_.config_version > node_->ConfigVersion()) {
-    co_await ReadFromPeer(kConfigTopic, peer);
+  const peer_ahead peer = peer_ahead_;
+  const endpoint remote{peer.address, node_->settings.control.port};
+  const bool config_changed = peer.config_version > node_->ConfigVersion();
+  const bool instances_changed =
+      peer.instances_offset > node_->instances_offset;
+  if (config_changed) {
+    co_await ReadFromPeer(kConfigTopic, remote);
   }
-  if (peer_ahead_.instances_offset > node_->instances_offset) {
-    co_await ReadFromPeer(kInstanceTopic, peer);
+  if (instances_changed) {
+    co_await ReadFromPeer(kInstanceTopic, remote);
   }
-  if (node_->instances_offset >= peer_ahead_.instances_offset) {
+  if (node_->instances_offset >= peer.instances_offset) {
     node_->instances_changed_at =
-        std::max(node_->instances_changed_at, peer_ahead_.instances_offset);
+        std::max(node_->instances_changed_at, peer.instances_offset);
+  }
+  if (config_changed || instances_changed) {
+    node_->on_load_change(load_change::kCaughtUp, 0);
   }
   co_await Sleep(executor, kCatchUpPause);
   is_catching_up_ = false;
--- a/tests/front/call_test.cc
+++ b/tests/front/call_test.cc
@@ -157,6 +157,24 @@
   CHECK(elapsed <= millis(1'150));  // 250 ms past the deadline
 }
 
+// All instances of a service shed half of their requests for some seconds while
+// they had free slots.
+TEST_CASE("random shedding: the caller may return at once") {
+  front_world world;
+  world.AddRoute("/pay/", false);
+  for (int i = 0; i < 2; ++i) {
+    world.AddInstance([](const http_request& request) {
+      return InstanceAnswer(RequestId(request), 503, "",
+                            "X-Not-Executed: 1\r\n");
+    });
+  }
+  const http_response refused = world.SendRequest(verb::put, "/pay/1");
+  CHECK(refused.result_int() == 503);
+  const double seconds = std::stod(std::string(refused["Retry-After"]));
+  CHECK(seconds > 0.05);
+  CHECK(seconds < 0.25);
+}
+
 // Requests with little time left made most instances of a service suspect.
 TEST_CASE("a request with less time than its work says nothing of health") {
   front_world world;
--- a/tests/front/store_test.cc
+++ b/tests/front/store_test.cc
@@ -208,5 +208,37 @@
   CHECK_FALSE(changes["items"][0].contains("value"));
 }
 
+// With 480 instances, a node that had missed one change got all their entries,
+// since the renewals had pushed it out.
+TEST_CASE("many instances: a mirror does not pass on renewals of entries") {
+  const auto entry = [](const std::string& state, int64_t sequence) {
+    return nlohmann::json{{"service", "s"},   {"address", "127.0.0.1:9"},
+                          {"zone", "a"},      {"slots", 3},
+                          {"state", state},   {"warmup_left_s", 0},
+                          {"seq", sequence},  {"born", 1}}
+        .dump();
+  };
+  store_mirror mirror;
+  keyed_page page;
+  page.whole = true;
+  page.next = 2;
+  page.records = {{"i-1", entry("ready", 1)}, {"i-2", entry("ready", 1)}};
+  mirror.Take("keyed.servers", page);
+  page.whole = false;
+  for (int64_t sequence = 2; sequence < 500; ++sequence) {
+    page.next += 2;
+    page.records = {{"i-1", entry("ready", sequence)},
+                    {"i-2", entry(sequence < 300 ? "ready" : "draining",
+                                  sequence)}};
+    mirror.Take("keyed.servers", page);
+  }
+  const auto answer = nlohmann::json::parse(
+      mirror.Answer("/-/log-newest?part=0&topic=keyed.servers&known=2").body());
+  CHECK(answer["changes_only"] == true);
+  CHECK(answer["end_offset"] == page.next);
+  REQUIRE(answer["items"].size() == 1);
+  CHECK(answer["items"][0]["key"] == "i-2");
+}
+
 }  // namespace
 }  // namespace peridotarch
