Instances of a node's place on the ring are preferred by one request

Files over 400 lines are split: the choice of an instance, the reads at peers, what reports say of records, the record of an attempt.

Test: node_ring_test "a node sends its requests to a few instances first" now asks that no instance is filled while others are idle (in flight below 2 instead of 3).

--- a/balance/instance_health.h
+++ b/balance/instance_health.h
@@ -37,7 +37,7 @@
 
   int successes_to_clear_ = 0;  ///< Successes still needed to clear it.
   bool has_failed_trial_ = false;
-  millis hold_until_;           ///< No trial before this time.
+  millis hold_until_;  ///< No trial before this time.
   attempt_outcome cause_ = attempt_outcome::kOk;
 };
 
--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -1,55 +1,18 @@
 #include "balance/instance_selector.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace peridotarch {
 
 namespace {
 
-constexpr millis kPeerTimeout(2'500);   // two missed reports a second apart
-// Work times vary widely: one healthy request in a hundred takes longer.
-constexpr double kSlowFactor = 4;
-// If the time left is shorter, an attempt counts as slow near its end.
-constexpr double kMinSlowFactor = 2;
-constexpr double kSlowTimeShare = 0.9;
-constexpr millis kMinSlowAfter(250);
-constexpr double kColdFactor = 2;  // a cold instance takes twice as long
-// The nodes that use an instance hear of a trial at once, and other nodes only
-// with a later report, so these nodes wait for longer before they start a
-// trial.
-constexpr millis kOtherNodesTrialDelay(300);
-// A retryable request tries a suspect as soon as its hold ends, since it can be
-// retried elsewhere after a failure. A service without such requests uses its
-// least urgent requests a little later, and then any request.
-constexpr millis kLeastUrgentTrialDelay(400);
-constexpr millis kAnyTrialDelay(800);
-// A failed trial shows that the instance is gray, and it stays so for several
-// seconds. Each further trial that cannot be retried costs its caller the
-// answer.
-constexpr millis kDelayAfterFailedTrial(2'200);
-// Share of the available time that the expected answer may take. It shrinks
-// with each step of priority, so that the least urgent requests are refused
-// first. Longer queues do not raise the throughput of an overloaded service;
-// they only make all its answers late.
-constexpr double kTimeShare = 0.9;
-constexpr double kPriorityStep = 0.1;
-// Work times vary widely: if the expected time were equal to the objective,
-// nearly half of the answers would be late.
-constexpr double kObjectiveShare = 0.8;
-constexpr int kMaxPrioritySteps = 3;
-// After this many denials in a row, a less urgent request may use the capacity
-// that is reserved for urgent ones. Otherwise a service that is overloaded for
-// long would starve the less urgent requests.
-constexpr int kMaxReserveDenials = 2;
+constexpr millis kPeerTimeout(2'500);  // two missed reports a second apart
 constexpr millis kUnreachableHold(500);
 constexpr int kMaxUnreachableDoublings = 3;
 // Another instance keeps the address, and the outdated entry is removed soon.
 constexpr millis kMovedHold(5'000);
 constexpr size_t kMaxRecentOutcomes = 8;
-// An instance without a request for this long may be new or recovered.
-constexpr millis kUnusedTime(1'000);
 constexpr millis kOutcomeRepeatTime(500);  // two reports to other zones
 constexpr int kMaxReported = 255;  // entries and requests; each fits in a byte
 
@@ -135,215 +98,6 @@
       }));
 }
 
-double instance_selector::LoadOf(const tracked_instance& instance,
-                                 millis now) const {
-  const double cold = now < instance.cold_until ? 1 : 0;
-  return (instance.InFlight() + cold) / std::max(1, instance.entry.slots);
-}
-
-// An instance serves requests in order, so requests beyond its slots queue.
-double instance_selector::WorkRounds(const tracked_instance& instance) {
-  const int slots = std::max(1, instance.entry.slots);
-  const int ahead = std::max(0, instance.InFlight() + 1 - slots);
-  return 1 + static_cast<double>(ahead) / slots;
-}
-
-double instance_selector::ExpectedMs(const tracked_instance& instance,
-                                     const latency_limits& limits,
-                                     millis now) {
-  const double wait = limits.mean_work_in_slot * (WorkRounds(instance) - 1);
-  const double expected = limits.mean_work + wait;
-  return now < instance.cold_until ? expected * kColdFactor : expected;
-}
-
-bool instance_selector::IsSelectable(const tracked_instance& instance,
-                                     const choice_request& request,
-                                     millis now) const {
-  return now >= instance.unreachable_until &&
-         std::find(request.tried.begin(), request.tried.end(), instance.key) ==
-             request.tried.end();
-}
-
-// A request that has failed once is not used for a trial, since two gray
-// instances would use up its attempts. A suspect gets one trial at a time: the
-// report of a trial reaches the peers in the zone before most of their own
-// requests arrive.
-bool instance_selector::IsDueForTrial(const tracked_instance& instance,
-                                      const choice_request& request,
-                                      int least_urgent, millis now) const {
-  if (instance.InFlight() > 0 || !request.is_first_attempt) {
-    return false;
-  }
-  const millis start = instance.is_home ? millis(0) : kOtherNodesTrialDelay;
-  millis overdue = instance.health.TrialOverdue(now) - start;
-  if (request.is_retryable) {
-    return overdue >= millis(0);
-  }
-  if (instance.health.has_failed_trial()) {
-    overdue = overdue - kDelayAfterFailedTrial;
-  }
-  return overdue >= kAnyTrialDelay || (request.priority >= least_urgent &&
-                                       overdue >= kLeastUrgentTrialDelay);
-}
-
-// An instance with a free slot answers as soon as an idle one. So those with
-// room that this node shares with few others go first, since it knows their
-// load best; then those with room in its zone, since traffic between zones is
-// paid for. So are new connections: an instance to which this node has an idle
-// one ranks as if it had one request fewer. So does an instance that no node
-// has used lately, or nodes would stay with those that they are connected to.
-// Ties are broken at random, since nodes that see the same load would otherwise
-// choose the same instance.
-instance_selector::tracked_instance* instance_selector::LeastLoaded(
-    const std::vector<tracked_instance*>& instances,
-    const choice_request& request, millis now) {
-  tracked_instance* best = nullptr;
-  std::tuple<int, double, bool, bool, uint64_t> best_rank;
-  for (tracked_instance* instance : instances) {
-    const double load = LoadOf(*instance, now);
-    const bool is_other_zone = instance->entry.zone != zone_;
-    const bool has_room = !is_other_zone && load < 1;
-    const int tier = !has_room ? 2 : instance->is_home ? 0 : 1;
-    const bool is_preferred =
-        instance->HasConnection(request.max_idle_time, now) ||
-        now - instance->used_at > kUnusedTime;
-    const double bonus =
-        is_preferred ? 1.0 / std::max(1, instance->entry.slots) : 0;
-    const std::tuple rank(tier, load - bonus, !is_preferred, is_other_zone,
-                          random_());
-    if (best == nullptr || rank < best_rank) {
-      best = instance;
-      best_rank = rank;
-    }
-  }
-  return best;
-}
-
-instance_choice instance_selector::MakeChoice(const tracked_instance& instance,
-                                              choice_basis basis,
-                                              const latency_limits& limits,
-                                              millis now) const {
-  instance_choice choice;
-  choice.basis = basis;
-  choice.instance = instance.entry;
-  choice.key = instance.key;
-  choice.in_flight = instance.InFlight();
-  choice.work_rounds = WorkRounds(instance);
-  const double expected = ExpectedMs(instance, limits, now);
-  choice.expected = millis(static_cast<int64_t>(expected));
-  const double slow_ms =
-      std::clamp(kSlowTimeShare * limits.time_left, kMinSlowFactor * expected,
-                 kSlowFactor * expected);
-  choice.slow_after =
-      std::max(kMinSlowAfter, millis(static_cast<int64_t>(slow_ms)));
-  return choice;
-}
-
-instance_selector::latency_limits instance_selector::LimitsFor(
-    const service_stats& stats, const choice_request& request) {
-  latency_limits limits;
-  limits.mean_work = stats.work.MeanOf(request.route);
-  limits.mean_work_in_slot = stats.work.MeanInSlot();
-  limits.time_left = static_cast<double>(request.time_left.count());
-  const double available =
-      std::min(limits.time_left, stats.work.MeanObjective() * kObjectiveShare);
-  const int steps = std::min(request.priority, kMaxPrioritySteps);
-  limits.in_time = available * (kTimeShare - kPriorityStep * steps);
-  limits.in_time_most_urgent = available * kTimeShare;
-  return limits;
-}
-
-instance_selector::candidates instance_selector::FindCandidates(
-    const std::vector<tracked_instance*>& members,
-    const choice_request& request, const latency_limits& limits,
-    int least_urgent, millis now) const {
-  candidates options;
-  for (tracked_instance* instance : members) {
-    if (!IsSelectable(*instance, request, now)) {
-      continue;
-    }
-    if (instance->health.suspect()) {
-      if (IsDueForTrial(*instance, request, least_urgent, now)) {
-        options.trial = instance;
-        return options;
-      }
-      if (instance->HasRoom()) {
-        const bool sheds = instance->health.cause() == attempt_outcome::kShed;
-        const bool is_gray = instance->health.has_failed_trial();
-        (sheds     ? options.shedding
-         : is_gray ? options.gray
-                   : options.other_suspects)
-            .push_back(instance);
-      }
-      continue;
-    }
-    const double expected = ExpectedMs(*instance, limits, now);
-    options.shortest_ms = options.shortest_ms == 0
-                              ? expected
-                              : std::min(options.shortest_ms, expected);
-    if (instance->HasRoom() || expected <= limits.in_time) {
-      options.in_time.push_back(instance);
-    } else if (!request.is_first_attempt && expected <= limits.time_left) {
-      options.late.push_back(instance);
-    } else if (expected <= limits.in_time_most_urgent) {
-      options.reserved.push_back(instance);
-    }
-  }
-  return options;
-}
-
-// A request that an instance sheds has not run and can go elsewhere, so
-// suspects that shed go before suspects that fail. A caller that has already
-// waited for a failed attempt is served late rather than not at all, and late
-// instances go before failing ones, since two gray instances would use up its
-// attempts. An instance that has failed a trial fails most requests: one that
-// cannot be retried is refused rather than lost there.
-instance_choice instance_selector::Choose(const choice_request& request,
-                                          millis now) {
-  const auto found = by_service_.find(request.service);
-  instance_choice none;
-  if (found == by_service_.end()) {
-    return none;
-  }
-  service_stats& stats = stats_[found->first];
-  stats.least_urgent = std::max(stats.least_urgent, request.priority);
-  stats.work.NoteRequest(request.route, request.objective);
-  const latency_limits limits = LimitsFor(stats, request);
-  const candidates options =
-      FindCandidates(found->second, request, limits, stats.least_urgent, now);
-  if (options.trial != nullptr) {
-    return MakeChoice(*options.trial, choice_basis::kTrial, limits, now);
-  }
-  if (tracked_instance* best = LeastLoaded(options.in_time, request, now)) {
-    return MakeChoice(*best, choice_basis::kRegular, limits, now);
-  }
-  if (!options.reserved.empty() &&
-      ++stats.reserve_denials > kMaxReserveDenials) {
-    stats.reserve_denials = 0;
-    tracked_instance* best = LeastLoaded(options.reserved, request, now);
-    return MakeChoice(*best, choice_basis::kRegular, limits, now);
-  }
-  if (tracked_instance* best = LeastLoaded(options.shedding, request, now)) {
-    return MakeChoice(*best, choice_basis::kLastResort, limits, now);
-  }
-  if (tracked_instance* best = LeastLoaded(options.late, request, now)) {
-    return MakeChoice(*best, choice_basis::kRegular, limits, now);
-  }
-  if (tracked_instance* best = LeastLoaded(options.other_suspects, request, now)) {
-    return MakeChoice(*best, choice_basis::kLastResort, limits, now);
-  }
-  tracked_instance* gray = LeastLoaded(options.gray, request, now);
-  if (gray != nullptr && request.is_retryable) {
-    return MakeChoice(*gray, choice_basis::kLastResort, limits, now);
-  }
-  none.basis = choice_basis::kOverload;
-  const double until_capacity =
-      options.shortest_ms - limits.in_time_most_urgent;
-  none.retry_after =
-      millis(static_cast<int64_t>(std::max(limits.mean_work, until_capacity)));
-  return none;
-}
-
 void instance_selector::Begin(instance_key key) {
   const auto found = instances_.find(key);
   if (found == instances_.end()) {
@@ -497,8 +251,8 @@
   for (const tracked_instance* instance : busy_) {
     if (report.load.size() < kMaxReported) {
       report.load.push_back(
-          {instance->key, static_cast<uint8_t>(std::min(
-                              instance->own_in_flight, kMaxReported))});
+          {instance->key, static_cast<uint8_t>(std::min(instance->own_in_flight,
+                                                        kMaxReported))});
     }
   }
   for (const recent_outcome& recent : recent_outcomes_) {
--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -26,7 +26,7 @@
 /// The attempt that an instance is chosen for.
 struct choice_request {
   std::string_view service;
-  uint32_t route = 0;  ///< Key of the route's name.
+  uint32_t route = 0;            ///< Key of the route's name.
   bool is_retryable = false;     ///< May be retried at another instance.
   bool is_first_attempt = true;  ///< No attempt has failed yet.
   int priority = 0;              ///< 0 is the most urgent.
@@ -141,8 +141,8 @@
     instance_entry entry;
     instance_key key = 0;
     bool is_listed = false;
-    home_range home;       ///< For instances in this node's zone.
-    bool is_home = false;  ///< This node is in `home`.
+    home_range home;          ///< For instances in this node's zone.
+    bool is_home = false;     ///< This node is in `home`.
     int own_in_flight = 0;    ///< Requests of this node.
     int peers_in_flight = 0;  ///< Requests of the peers, as they report.
     millis cold_until;
@@ -172,8 +172,8 @@
 
   /// The mean work times and limits on the expected latency, all in ms.
   struct latency_limits {
-    double mean_work = 0;          ///< Of the request's route.
-    double mean_work_in_slot = 0;  ///< Of the requests ahead of it.
+    double mean_work = 0;            ///< Of the request's route.
+    double mean_work_in_slot = 0;    ///< Of the requests ahead of it.
     double in_time = 0;              ///< For a request of this priority.
     double in_time_most_urgent = 0;  ///< For a request of the top priority.
     double time_left = 0;            ///< Until the deadline or the timeout.
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -7,9 +7,9 @@
 #include <utility>
 #include <vector>
 
-#include "balance/answer_classification.h"
 #include "balance/request_deadlines.h"
 #include "core/invariant.h"
+#include "front/attempt_record.h"
 #include "front/retry_choice.h"
 #include "platform/call_wire.h"
 #include "platform/to_chrono.h"
@@ -30,37 +30,7 @@
 constexpr millis kMaxIdleTimeIdempotent(7'000);
 constexpr millis kMaxIdleTime(3'000);
 constexpr millis kNoInstanceRetryAfter(800);  // entries renew every 1.5 s
-constexpr millis kDefaultRetryAfter(500);
-// An instance that sheds although it has free slots sheds at random, so the
-// next attempt may well succeed.
-constexpr millis kRandomShedRetryAfter(150);
-
-/// One attempt at one instance.
-struct attempt_record {
-  instance_choice choice;
-  millis time_left;  ///< From the choice until the work deadline.
-  exchange_result result;
-  answer_classification classification;
-  millis latency;
-};
-
-// Returns the instance's time for this attempt alone: the latency of a request
-// that queues behind others includes their work.
-millis InstanceWorkTime(const attempt_record& attempt) {
-  return millis(
-      static_cast<int64_t>(static_cast<double>(attempt.latency.count()) /
-                           attempt.choice.work_rounds));
-}
-
-// Returns what the attempt says of the instance's health. An attempt that had
-// less time than a healthy instance may need says nothing when it runs out.
-attempt_outcome HealthOutcome(const attempt_record& attempt) {
-  const attempt_outcome outcome = attempt.classification.outcome;
-  const bool was_cut_short = attempt.latency < attempt.choice.slow_after;
-  return outcome == attempt_outcome::kSlow && was_cut_short
-             ? attempt_outcome::kUnknown
-             : outcome;
-}
+constexpr millis kOtherNodeRetryAfter(500);
 
 class request_handler {
  public:
@@ -76,12 +46,11 @@
  private:
   std::optional<reason> Prepare();
   awaitable<void> RunAttempt(attempt_record& attempt);
-  void ClassifyAttempt(attempt_record& attempt);
+  void CountAttempt(const attempt_record& attempt);
   [[nodiscard]] retry_choice DecideRetry(const attempt_record& attempt);
   http_response Deliver(attempt_record& attempt);
   http_response Refuse(reason why, millis retry_after);
   http_response Fail(const attempt_record& attempt);
-  [[nodiscard]] reason FailureReason(const attempt_record& attempt) const;
   [[nodiscard]] choice_request MakeChoiceRequest(millis now) const;
   choice_request MakeChoiceRequestWithout(instance_key key, millis now);
   void OnSlowAttempt(instance_key key, exchange_control& control);
@@ -205,7 +174,8 @@
   const bool was_slow = slow_timer.cancel() == 0;
   state_.exchange = nullptr;
   attempt.latency = boot_clock::Now() - attempt_started_at;
-  ClassifyAttempt(attempt);
+  attempt.classification = Classify(attempt.result);
+  CountAttempt(attempt);
   if (was_slow && attempt.classification.outcome == attempt_outcome::kOk) {
     attempt.classification.outcome = attempt_outcome::kUnknown;
   }
@@ -243,20 +213,11 @@
   }
 }
 
-void request_handler::ClassifyAttempt(attempt_record& attempt) {
-  const attempt_summary& summary = attempt.result.summary;
-  answer_classification& classification = attempt.classification;
-  if (summary.ended == attempt_end_cause::kAnswered) {
-    classification = ClassifyAnswer(ReadFacts(attempt.result.answer));
-  } else {
-    classification.run_verdict = JudgeAttempt(summary);
-    classification.outcome =
-        OutcomeWithoutAnswer(summary, attempt.result.reused);
-  }
-  if (summary.written != write_progress::kNothing) {
+void request_handler::CountAttempt(const attempt_record& attempt) {
+  if (attempt.result.summary.written != write_progress::kNothing) {
     ++instances_sent_to_;
   }
-  if (classification.run_verdict != verdict::kNotRun) {
+  if (attempt.classification.run_verdict != verdict::kNotRun) {
     ++possible_runs_;
   }
 }
@@ -292,15 +253,6 @@
   return is_allowed ? retry_choice::kRetry : retry_choice::kBudgetUsed;
 }
 
-reason request_handler::FailureReason(const attempt_record& attempt) const {
-  if (attempt.result.summary.ended != attempt_end_cause::kAnswered) {
-    return ReasonOf(attempt.result.summary);
-  }
-  return attempt.classification.run_verdict == verdict::kNotRun
-             ? reason::kUpstreamShed
-             : reason::kUpstreamMalformed;
-}
-
 void request_handler::LogAttempt(const attempt_record& attempt,
                                  retry_choice retry) {
   const bool answered =
@@ -384,11 +336,7 @@
 http_response request_handler::Fail(const attempt_record& attempt) {
   const reason why = FailureReason(attempt);
   if (possible_runs_ == 0) {
-    const bool had_room =
-        attempt.choice.in_flight < attempt.choice.instance.slots;
-    return Refuse(why, Jitter(why == reason::kUpstreamShed && had_room
-                                  ? kRandomShedRetryAfter
-                                  : kDefaultRetryAfter));
+    return Refuse(why, Jitter(RetryAfterFailure(attempt, why)));
   }
   // An earlier attempt may have run even if the last one did not, so the
   // answer must not state that the request did not run.
@@ -400,8 +348,9 @@
   if (const auto refused = Prepare()) {
     const bool other_node_can_serve =
         *refused == reason::kNotConfigured || *refused == reason::kShuttingDown;
-    co_return Refuse(*refused, other_node_can_serve ? Jitter(kDefaultRetryAfter)
-                                                    : millis(0));
+    co_return Refuse(*refused, other_node_can_serve
+                                   ? Jitter(kOtherNodeRetryAfter)
+                                   : millis(0));
   }
   attempt_record attempt;
   for (;;) {
--- a/front/caller_session.cc
+++ b/front/caller_session.cc
@@ -33,8 +33,7 @@
                                boost::beast::tcp_stream stream)
     : node_(std::move(node)),
       session_(std::move(stream)),
-      queue_changed_(node_->context,
-                     asio::steady_timer::time_point::max()),
+      queue_changed_(node_->context, asio::steady_timer::time_point::max()),
       idle_since_(boot_clock::Now()) {
   node_->sessions.insert(this);
 }
@@ -147,8 +146,8 @@
   const auto one = std::make_shared<pipelined_request>();
   one->is_started = true;
   one->keep_alive = false;
-  one->answer = OwnAnswer(ReplyFor(why).status, "", std::string(ToName(why)),
-                          millis(0));
+  one->answer =
+      OwnAnswer(ReplyFor(why).status, "", std::string(ToName(why)), millis(0));
   reads_more_ = false;
   queue_.push_back(one);
   ++node_->in_flight;
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -149,8 +149,8 @@
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
-awaitable<error_code> connection_pool::ReadBody(
-    instance_connection& connection, answer_parser& parser) {
+awaitable<error_code> connection_pool::ReadBody(instance_connection& connection,
+                                                answer_parser& parser) {
   error_code failure;
   uint64_t bytes = 0;
   while (!failure && !parser.is_done()) {
--- a/front/connection_pool.h
+++ b/front/connection_pool.h
@@ -44,8 +44,8 @@
 /// How an exchange ended.
 struct exchange_result {
   attempt_summary summary;
-  http_response answer;  ///< Set if `summary` says answered.
-  bool reused = false;   ///< The connection had carried a request before.
+  http_response answer;      ///< Set if `summary` says answered.
+  bool reused = false;       ///< The connection had carried a request before.
   int idle_connections = 0;  ///< To the instance, after the exchange.
 };
 
@@ -71,8 +71,8 @@
  private:
   using connection_ptr = std::shared_ptr<instance_connection>;
 
-  using answer_parser = boost::beast::http::response_parser<
-      boost::beast::http::string_body>;
+  using answer_parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   awaitable<boost::system::error_code> ReadBody(instance_connection& connection,
                                                 answer_parser& parser);
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -69,7 +69,7 @@
   /// Nodes of the fleet with a recent report, including this one.
   int live_nodes = 1;
   int live_nodes_in_zone = 1;  ///< Those of the own zone.
-  int in_flight = 0;  ///< Requests of callers.
+  int in_flight = 0;           ///< Requests of callers.
   bool instances_known = false;
   bool draining = false;
   millis stops_at;  ///< Set while draining: when the process ends.
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -11,7 +11,6 @@
 #include <utility>
 #include <vector>
 
-#include "balance/reader_choice.h"
 #include "balance/relay_choice.h"
 #include "core/error.h"
 #include "platform/endpoint.h"
@@ -180,10 +179,9 @@
   const std::string datagram = MakeDatagram(report_content::kLoad, now);
   for (const auto& [remote, state] : peers_) {
     const double position = ring_.PositionOf(state.relay_key);
-    const bool uses_one =
-        std::any_of(homes.begin(), homes.end(), [position](const auto& home) {
-          return home.Contains(position);
-        });
+    const bool uses_one = std::any_of(
+        homes.begin(), homes.end(),
+        [position](const auto& home) { return home.Contains(position); });
     if (Includes(recipients::kZone, state, now) && uses_one) {
       SendTo(remote, datagram);
     }
@@ -339,10 +337,9 @@
 }
 
 void peer_reporter::CountNodes(millis now) {
-  const auto live =
-      std::count_if(peers_.begin(), peers_.end(), [this, now](const auto& one) {
-        return IsLive(one.second, now);
-      });
+  const auto live = std::count_if(
+      peers_.begin(), peers_.end(),
+      [this, now](const auto& one) { return IsLive(one.second, now); });
   const int nodes = 1 + static_cast<int>(live);
   if (nodes != node_->live_nodes) {
     node_->log.Write("nodes_changed", {{"before", node_->live_nodes},
@@ -352,49 +349,6 @@
   }
 }
 
-void peer_reporter::CompareRecords(const std::string& name,
-                                   const load_report& report) {
-  if (report.config_version > node_->ConfigVersion() ||
-      report.instances_offset > node_->instances_offset) {
-    on_ahead_({name, report.config_version, report.instances_offset,
-               report.zone != zone_});
-  }
-}
-
-bool peer_reporter::MustReadStore() const {
-  std::vector<reader_candidate> others;
-  others.reserve(peers_.size());
-  for (const auto& [remote, state] : peers_) {
-    others.push_back({state.relay_key, state.zone == zone_,
-                      state.reads_store && !state.leaving, state.heard_at});
-  }
-  return node_->draining ||
-         ShouldReadStore(own_relay_key_, others, boot_clock::Now());
-}
-
-// Prefers peers of this zone. Chooses at random, so that a single peer does not
-// serve all the others.
-std::optional<std::string> peer_reporter::FindStoreReader() const {
-  const millis now = boot_clock::Now();
-  std::vector<const udp::endpoint*> same_zone;
-  std::vector<const udp::endpoint*> any_zone;
-  for (const auto& [remote, state] : peers_) {
-    if (IsLive(state, now) && state.reads_store && !state.leaving) {
-      any_zone.push_back(&remote);
-      if (state.zone == zone_) {
-        same_zone.push_back(&remote);
-      }
-    }
-  }
-  const auto& candidates = same_zone.empty() ? any_zone : same_zone;
-  if (candidates.empty()) {
-    return std::nullopt;
-  }
-  return candidates[node_->random.Below(candidates.size())]
-      ->address()
-      .to_string();
-}
-
 awaitable<void> peer_reporter::Receive() {
   std::array<char, kMaxDatagram> datagram;
   for (;;) {
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -27,13 +27,8 @@
 constexpr millis kInstancesPause(500);
 // Applies while removals of entries are pending.
 constexpr millis kPendingRemovalWait(200);
-constexpr millis kStartupRetryDelay(150);       // until this node can serve
-constexpr millis kDelegationPollInterval(250);  // checks if others still read
-constexpr millis kCatchUpPause(30);             // between reads from peers
-constexpr millis kOtherZoneDelay(300);
-// Nodes of a zone read a change one after the other, most of them at nodes that
-// have just read it, so that the reader's link does not delay them all.
-constexpr millis kCatchUpSpreadPerNode(4);
+constexpr millis kStartupRetryDelay(150);  // until this node can serve
+constexpr millis kDelegationPollInterval(250);
 constexpr millis kRetryDelay(900);  // even a refused call costs money
 
 endpoint StoreEndpoint(const front_node& node) {
@@ -135,51 +130,6 @@
   }
 }
 
-// Returns a peer that reads the store, else the next seed as long as no other
-// node is live. The endpoint is empty if there is neither.
-endpoint store_watch::NextMirror() {
-  if (const auto peer = node_->find_store_reader()) {
-    return {*peer, node_->settings.control.port};
-  }
-  const auto& seeds = node_->settings.seeds;
-  if (node_->live_nodes > 1 || seeds.empty()) {
-    return {};
-  }
-  const host_port& seed = seeds[next_seed_++ % seeds.size()];
-  return {seed.host, seed.port};
-}
-
-// The store may refuse this node and still serve others, so the records of a
-// peer may be newer than the records that this node knows.
-awaitable<void> store_watch::ReadFromPeer(std::string_view topic,
-                                          const endpoint& remote) {
-  if (remote.address.empty() ||
-      remote.address == node_->settings.control.host) {
-    co_return;
-  }
-  const bool config = topic == kConfigTopic;
-  try {
-    store_client peer(node_->context.get_executor(), remote);
-    const keyed_page page = co_await peer.Newest(
-        topic, kCallTimeout,
-        config ? next_config_offset_ : next_instances_offset_);
-    if (config) {
-      ApplyConfig(page);
-    } else {
-      ApplyInstances(page);
-      node_->instances_known = true;
-      PublishInstances();
-    }
-    node_->counters
-        .Counter("peer_reads_total", "Reads of the store's records at a peer.")
-        .Add();
-  } catch (const platform_error& failure) {
-    node_->log.Write("peer_read_failed", {{"peer", remote.address},
-                                          {"topic", topic},
-                                          {"error", failure.what()}});
-  }
-}
-
 // Few nodes read the store for the others. The others learn of new records from
 // load reports, and read them from the node that reports them. They do not
 // announce them again, or each change would make every node write to all.
@@ -215,51 +165,6 @@
   }
 }
 
-void store_watch::CatchUp(const peer_ahead& peer) {
-  // While this node waits for its turn, the last peer that has the records is
-  // the one to read: it has had the fewest readers.
-  if (!is_catching_up_ || !peer.is_other_zone || peer_ahead_.is_other_zone) {
-    peer_ahead_ = peer;
-  }
-  if (!is_catching_up_) {
-    is_catching_up_ = true;
-    Spawn(&store_watch::ReadFromPeerAhead);
-  }
-}
-
-// Traffic between zones costs money, so a node waits for the readers of its own
-// zone before it reads from another.
-awaitable<void> store_watch::ReadFromPeerAhead() {
-  const asio::any_io_executor executor = node_->context.get_executor();
-  const auto spread = static_cast<uint64_t>(
-      (kCatchUpSpreadPerNode * node_->live_nodes_in_zone).count());
-  const millis turn(static_cast<int64_t>(node_->random.Below(spread + 1)));
-  co_await Sleep(executor, turn);
-  if (peer_ahead_.is_other_zone) {
-    co_await Sleep(executor, kOtherZoneDelay);
-  }
-  const peer_ahead peer = peer_ahead_;
-  const endpoint remote{peer.address, node_->settings.control.port};
-  const bool config_changed = peer.config_version > node_->ConfigVersion();
-  const bool instances_changed =
-      peer.instances_offset > node_->instances_offset;
-  if (config_changed) {
-    co_await ReadFromPeer(kConfigTopic, remote);
-  }
-  if (instances_changed) {
-    co_await ReadFromPeer(kInstanceTopic, remote);
-  }
-  if (node_->instances_offset >= peer.instances_offset) {
-    node_->instances_changed_at =
-        std::max(node_->instances_changed_at, peer.instances_offset);
-  }
-  if (config_changed || instances_changed) {
-    node_->on_load_change(load_change::kCaughtUp, 0);
-  }
-  co_await Sleep(executor, kCatchUpPause);
-  is_catching_up_ = false;
-}
-
 // Ignores a page older than the known records: a read of the store may end
 // after a peer has given newer records, and would bring back instances that
 // have left.
--- a/tests/balance/connection_reuse_test.cc
+++ b/tests/balance/connection_reuse_test.cc
@@ -117,8 +117,7 @@
   selector.NoteIdleConnections(KeyOf("s-0"), 1, kStart);
   std::map<instance_key, int> chosen;
   for (int i = 0; i < 100; ++i) {
-    ++chosen[selector
-                 .Choose(ReuseRequest(), kStart + kMaxIdleTime + millis(1))
+    ++chosen[selector.Choose(ReuseRequest(), kStart + kMaxIdleTime + millis(1))
                  .key];
   }
   CHECK(chosen.size() == 2);
--- a/tests/balance/node_ring_test.cc
+++ b/tests/balance/node_ring_test.cc
@@ -84,11 +84,11 @@
     ++used[choice.key];
     CHECK(selector.HomeOf(choice.key)->Contains(RingPosition(7, 58)));
   }
-  // Beyond the slots of these instances it uses the others of the zone.
+  // It does not fill the last slots of these while others are idle.
   for (int i = 0; i < 40; ++i) {
     const instance_choice choice = selector.Choose(request, kStart);
     REQUIRE(choice.basis == choice_basis::kRegular);
-    CHECK(choice.in_flight < 3);
+    CHECK(choice.in_flight < 2);
     selector.Begin(choice.key);
     ++used[choice.key];
   }
@@ -96,7 +96,8 @@
 }
 
 TEST_CASE("many nodes: heartbeats to other zones are bounded and reach all") {
-  for (const size_t nodes : {size_t{24}, size_t{80}, size_t{233}, size_t{640}}) {
+  for (const size_t nodes :
+       {size_t{24}, size_t{80}, size_t{233}, size_t{640}}) {
     heartbeat_schedule schedule;
     random_bits random(nodes);
     std::map<uint32_t, int> received;
--- a/tests/front/endless_answer_test.cc
+++ b/tests/front/endless_answer_test.cc
@@ -114,8 +114,8 @@
     world.AddRoute("/pay/", false);
     endless_instance instance(world, answer);
     const millis started_at = boot_clock::Now();
-    const int status = static_cast<int>(
-        world.SendRequest(verb::put, "/pay/1").result_int());
+    const int status =
+        static_cast<int>(world.SendRequest(verb::put, "/pay/1").result_int());
     CHECK((status == 502 || status == 504));
     CHECK(boot_clock::Now() - started_at < millis(1'000));
     world.RunUntil([&instance] { return instance.ended == 1; });
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -173,9 +173,9 @@
       request.set("X-Request-Id", id);
     }
     request.set("X-Deadline-Ms", "900");
-    boost::asio::co_spawn(
-        context, SendAndRead(std::move(request), std::move(on_answer)),
-        boost::asio::detached);
+    boost::asio::co_spawn(context,
+                          SendAndRead(std::move(request), std::move(on_answer)),
+                          boost::asio::detached);
   }
 
   /// Runs the event loop until `done` returns true, for at most two seconds.
--- a/tests/front/store_test.cc
+++ b/tests/front/store_test.cc
@@ -212,10 +212,10 @@
 // since the renewals had pushed it out.
 TEST_CASE("many instances: a mirror does not pass on renewals of entries") {
   const auto entry = [](const std::string& state, int64_t sequence) {
-    return nlohmann::json{{"service", "s"},   {"address", "127.0.0.1:9"},
-                          {"zone", "a"},      {"slots", 3},
-                          {"state", state},   {"warmup_left_s", 0},
-                          {"seq", sequence},  {"born", 1}}
+    return nlohmann::json{{"service", "s"},  {"address", "127.0.0.1:9"},
+                          {"zone", "a"},     {"slots", 3},
+                          {"state", state},  {"warmup_left_s", 0},
+                          {"seq", sequence}, {"born", 1}}
         .dump();
   };
   store_mirror mirror;
@@ -227,9 +227,9 @@
   page.whole = false;
   for (int64_t sequence = 2; sequence < 500; ++sequence) {
     page.next += 2;
-    page.records = {{"i-1", entry("ready", sequence)},
-                    {"i-2", entry(sequence < 300 ? "ready" : "draining",
-                                  sequence)}};
+    page.records = {
+        {"i-1", entry("ready", sequence)},
+        {"i-2", entry(sequence < 300 ? "ready" : "draining", sequence)}};
     mirror.Take("keyed.servers", page);
   }
   const auto answer = nlohmann::json::parse(
