--- a/front/caller_session.cc
+++ b/front/caller_session.cc
@@ -160,6 +160,7 @@
 void caller_session::StartRequests() {
   int served_now = 0;
   size_t unwritten_bytes = 0;
+  // A request that is refused ends at once, which changes the queue.
   const auto pending = queue_;
   for (const auto& one : pending) {
     const bool is_first = one == pending.front();
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -92,7 +92,7 @@
       co_return failure;
     }
   }
-  co_return http::make_error_code(http::error::unexpected_body);
+  co_return http::make_error_code(http::error::unexpected_body);  // malformed
 }
 
 }  // namespace
