A node prefers 24 instances of its zone instead of eight; two tests wait for their state

The other waited two seconds for twelve answers of endless bytes on one thread; it now waits up to ten. Checks and bounds are as they were.

--- a/balance/node_ring.h
+++ b/balance/node_ring.h
@@ -28,7 +28,7 @@
 home_range HomeRangeOf(size_t rank, size_t instances, size_t nodes);
 
 /// Instances of one service and zone that a node prefers.
-inline constexpr size_t kHomeInstances = 8;
+inline constexpr size_t kHomeInstances = 24;
 
 /// The live nodes of one availability zone in a ring. Every node computes it
 /// from the reports that it has heard; a node more or less shifts the others
--- a/tests/front/endless_answer_test.cc
+++ b/tests/front/endless_answer_test.cc
@@ -162,7 +162,10 @@
                          ++answered;
                        });
   }
-  world.RunUntil([&answered] { return answered == kCallers; });
+  // All run on one thread, which a busy machine slows down.
+  for (int i = 0; i < 5 && answered < kCallers; ++i) {
+    world.RunUntil([&answered] { return answered == kCallers; });
+  }
   CHECK(answered == kCallers);
   CHECK(world.node->pool.peak_bytes_in_read() < (50 << 20));
 }
--- a/tests/front/pipelining_test.cc
+++ b/tests/front/pipelining_test.cc
@@ -288,6 +288,8 @@
   // The caller does not read yet, so the answer stays half written.
   const std::string body(8 << 20, 'x');
   instance.Release("r1", body);
+  world.RunUntil([&world] { return world.node->selector.in_flight() == 0; });
+  REQUIRE(world.node->selector.in_flight() == 0);
   RunBriefly(world);
   caller.Send(RequestBytes("GET", "/box/2", "r2"));
   RunBriefly(world);
