--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -5,7 +5,6 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
-#include <vector>
 
 #include "balance/request_deadlines.h"
 #include "core/invariant.h"
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
-#include <vector>
 
 #include "balance/relay_choice.h"
 #include "core/error.h"
