Reports: one loop sends to the users of instances

Cause: the report of a taken slot and that of freed slots had the same loop over the peers, the second with a ring position worked out for nodes that get no report. Found in the read-through.

Change: one function for a list of instances; nodes of other zones are passed over first. The order of sends is as it was. No functional change.

--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -108,7 +108,9 @@
 // store's records are told to all: directly in the own zone, and by relays in
 // the others, since traffic between zones costs money.
 void peer_reporter::OnLoadChange(load_change change, instance_key key) {
-  const auto send_to_zone = [this]() { ReportFreedSlots(); };
+  const auto send_to_zone = [this]() {
+    SendToUsersOf(std::exchange(freed_, {}));
+  };
   const auto send_to_others = [this]() {
     Send(recipients::kOtherZones, report_content::kLoad);
   };
@@ -121,7 +123,7 @@
       SendToSome();
       return;
     case load_change::kSlotTaken:
-      SendToUsersOf(key);
+      SendToUsersOf({key});
       break;
     case load_change::kSlotFreed:
       freed_.push_back(key);
@@ -149,25 +151,9 @@
   }
 }
 
-void peer_reporter::SendToUsersOf(instance_key key) {
-  const std::optional<home_range> home = node_->selector.HomeOf(key);
-  if (!home) {
-    return;
-  }
-  const millis now = boot_clock::Now();
-  const std::string datagram = MakeDatagram(report_content::kLoad, now);
-  for (const auto& [remote, state] : peers_) {
-    if (Includes(recipients::kZone, state, now) &&
-        home->Contains(ring_.PositionOf(state.relay_key))) {
-      SendTo(remote, datagram);
-    }
-  }
-}
-
-void peer_reporter::ReportFreedSlots() {
-  const millis now = boot_clock::Now();
+void peer_reporter::SendToUsersOf(const std::vector<instance_key>& keys) {
   std::vector<home_range> homes;
-  for (const instance_key key : std::exchange(freed_, {})) {
+  for (const instance_key key : keys) {
     if (const auto home = node_->selector.HomeOf(key)) {
       homes.push_back(*home);
     }
@@ -175,13 +161,16 @@
   if (homes.empty()) {
     return;
   }
+  const millis now = boot_clock::Now();
   const std::string datagram = MakeDatagram(report_content::kLoad, now);
   for (const auto& [remote, state] : peers_) {
+    if (!Includes(recipients::kZone, state, now)) {
+      continue;
+    }
     const double position = ring_.PositionOf(state.relay_key);
-    const bool uses_one = std::any_of(
-        homes.begin(), homes.end(),
-        [position](const auto& home) { return home.Contains(position); });
-    if (Includes(recipients::kZone, state, now) && uses_one) {
+    if (std::any_of(homes.begin(), homes.end(), [position](const auto& home) {
+          return home.Contains(position);
+        })) {
       SendTo(remote, datagram);
     }
   }
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -63,8 +63,7 @@
   awaitable<void> SendHeartbeats();
   void OnLoadChange(load_change change, instance_key key);
   void SendToSome();
-  void SendToUsersOf(instance_key key);
-  void ReportFreedSlots();
+  void SendToUsersOf(const std::vector<instance_key>& keys);
   void SendSoon(delayed_report& report, millis delay,
                 std::function<void()> send);
   /// `relay_for` is the key of this node if the report is to be relayed.
