An answer without end stops at the request's deadline

An instance sent chunks without a pause. Each read of the body completed at once, and the stream cancels its timer when a read completes, so the expired deadline was never seen: the attempt ended after 2,016 ms, by the limit of 16 MB, instead of after 900 ms. The test's own wait ended after 2 s, and the late answer was written to its stack: the segmentation fault.

Ruled out: a slow parser (release reads 16 MB in some 20 ms); the checks' bounds, which follow from the deadline and stay.

Change: connection_pool::ReadBody compares the clock with the deadline after each read. The tests' SendRequest keeps the answer on the heap and requires that it arrives.

--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -149,8 +149,11 @@
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
-awaitable<error_code> connection_pool::ReadBody(instance_connection& connection,
-                                                answer_parser& parser) {
+// The deadline is checked after each read: while bytes arrive without a pause,
+// the event loop completes the next read before the stream's timer.
+awaitable<error_code> connection_pool::ReadBody(
+    instance_connection& connection, answer_parser& parser,
+    std::chrono::steady_clock::time_point deadline) {
   error_code failure;
   uint64_t bytes = 0;
   while (!failure && !parser.is_done()) {
@@ -164,6 +167,10 @@
     if (bytes_in_read_ > kMaxBytesInRead) {
       failure = http::make_error_code(http::error::body_limit);
     }
+    const bool is_late = std::chrono::steady_clock::now() >= deadline;
+    if (!failure && !parser.is_done() && is_late) {
+      failure = beast::error::timeout;
+    }
   }
   bytes_in_read_ -= bytes;
   co_return failure;
@@ -200,7 +207,7 @@
     failure = co_await ReadAnswerHead(*connection, parser);
     if (!failure) {
       result.summary.read = read_progress::kPart;
-      failure = co_await ReadBody(*connection, *parser);
+      failure = co_await ReadBody(*connection, *parser, deadline);
     }
     if (failure || stray_answers == kMaxStrayAnswers ||
         AnswersRequest(parser->get(), params.id)) {
--- a/front/connection_pool.h
+++ b/front/connection_pool.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -74,8 +75,9 @@
   using answer_parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
-  awaitable<boost::system::error_code> ReadBody(instance_connection& connection,
-                                                answer_parser& parser);
+  awaitable<boost::system::error_code> ReadBody(
+      instance_connection& connection, answer_parser& parser,
+      std::chrono::steady_clock::time_point deadline);
   connection_ptr TakeIdle(const instance_entry& instance, millis max_idle_time);
   /// Returns how many idle connections to the instance are kept.
   int KeepIdle(const instance_entry& instance, connection_ptr connection);
--- a/tests/front/endless_answer_test.cc
+++ b/tests/front/endless_answer_test.cc
@@ -2,6 +2,7 @@
 // node closes the connection.
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <optional>
 
 #include "front_world.h"
 
@@ -29,16 +30,17 @@
       : answer_(std::move(answer)),
         acceptor_(world.context, {asio::ip::make_address("127.0.0.1"), 0}) {
     asio::co_spawn(world.context, Accept(), asio::detached);
-    instance_entry entry;
-    entry.id = "endless";
-    entry.service = "s";
-    entry.address = "127.0.0.1";
-    entry.port = acceptor_.local_endpoint().port();
-    entry.zone = "a";
-    entry.slots = 3;
-    world.AddEntry(entry);
+    entry_.id = "endless";
+    entry_.service = "s";
+    entry_.address = "127.0.0.1";
+    entry_.port = acceptor_.local_endpoint().port();
+    entry_.zone = "a";
+    entry_.slots = 3;
+    world.AddEntry(entry_);
   }
 
+  [[nodiscard]] const instance_entry& entry() const { return entry_; }
+
   uint64_t bytes_sent = 0;
   int served = 0;
   int ended = 0;  ///< Connections that the node has closed.
@@ -81,6 +83,7 @@
   }
 
   const endless_answer answer_;
+  instance_entry entry_;
   asio::ip::tcp::acceptor acceptor_;
 };
 
@@ -148,6 +151,30 @@
   }
 }
 
+// On a busy machine such bytes arrived faster than the event loop could report
+// the expired timer of the connection.
+TEST_CASE("endless answer: bytes that arrive at full speed end in time") {
+  front_world world;
+  endless_instance instance(world,
+                            {"body", kHead + "\r\n", kFiller, millis(0)});
+  exchange_params params;
+  params.instance = instance.entry();
+  params.request = http_request(verb::put, "/pay/1", 11);
+  params.id = "r1";
+  params.time_left = millis(2);
+  exchange_control control;
+  std::optional<exchange_result> result;
+  asio::co_spawn(
+      world.context,
+      [&]() -> awaitable<void> {
+        result = co_await world.node->pool.Exchange(params, control);
+      },
+      asio::detached);
+  world.RunUntil([&result] { return result.has_value(); });
+  REQUIRE(result.has_value());
+  CHECK(result->summary.ended == attempt_end_cause::kTimeout);
+}
+
 TEST_CASE("endless answer: many at once stay within the node's memory") {
   front_world world;
   world.AddRoute("/pay/", false);
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -8,8 +8,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -150,18 +152,19 @@
     node->instances_known = true;
   }
 
-  /// Sends a request as a caller and returns the answer.
+  /// Sends a request as a caller and returns the answer. The test fails if
+  /// none arrives in time.
   http_response SendRequest(boost::beast::http::verb method,
                             const std::string& target,
                             const std::string& id = "r1") {
-    http_response answer;
-    bool done = false;
-    StartRequest(method, target, id, [&](const http_response& received) {
-      answer = received;
-      done = true;
+    // An answer may still arrive after the wait for it has ended.
+    const auto answer = std::make_shared<std::optional<http_response>>();
+    StartRequest(method, target, id, [answer](const http_response& received) {
+      *answer = received;
     });
-    RunUntil([&done] { return done; });
-    return answer;
+    RunUntil([&answer] { return answer->has_value(); });
+    REQUIRE(answer->has_value());
+    return **answer;
   }
 
   /// Sends a request as a caller; calls `on_answer` with the answer.
