--- a/config/log_follower.cc
+++ b/config/log_follower.cc
@@ -110,6 +110,7 @@
   caught_up_ = false;
   found_no_snapshot_ = false;
   last_snapshot_.reset();
+  has_lost_base_ = false;
   has_state_ = from == 0;
   if (has_state_) {
     chain_.Start(EmptyRevision(), 0);
@@ -133,6 +134,11 @@
   if (has_state_ || lies_outside) {
     return;
   }
+  // A snapshot that a peer applied before a reset of the log may still stand in
+  // it, but new readers cannot start from it.
+  if (found_no_snapshot_ && position.last_snapshot < next_) {
+    position.last_snapshot.reset();
+  }
   ScanFrom(position.end_offset);
   chain_.Start(std::move(head), position.end_offset);
   last_hash_ = position.last_hash;
@@ -150,6 +156,7 @@
   ScanFrom(oldest_);
   chain_.Start(EmptyRevision(), oldest_);
   has_state_ = true;
+  has_lost_base_ = oldest_ > 0;
 }
 
 void log_follower::ApplyRecord(const log_record& record,
@@ -165,17 +172,20 @@
     scanned_hashes_.push_back(last_hash_);
     return;
   }
-  const bool has_lost_base = HasLostBase();
   applied_record applied =
       chain_.Apply(record.offset, record.appended_at, record.data);
-  if (applied.is_start_point) {
-    last_snapshot_ = record.offset;
+  if (applied.is_start_point && !IsContradictedBy(applied.position)) {
+    last_snapshot_ = std::min(record.offset, applied.position.end_offset);
   }
   KeepWatched();
   const bool contradicts_head =
-      !has_lost_base &&
+      !IsDueToLostBase(applied.outcome) &&
       (applied.contradicts_head || IsContradictedBy(applied.position)) &&
       record.offset >= rescanned_below_;
+  if (applied.is_start_point || applied.outcome == apply_outcome::kAdopted ||
+      applied.outcome == apply_outcome::kJoined) {
+    has_lost_base_ = false;
+  }
   result.applied.push_back(std::move(applied));
   if (contradicts_head) {
     rescanned_below_ = record.offset + 1;
@@ -183,11 +193,13 @@
   }
 }
 
-// The log has dropped all snapshots and the records before them, so the bases
+// If the log has dropped all snapshots and the records before them, the bases
 // of the records that it still holds are unknown. That is no sign of a reset;
-// another scan would find the same.
-bool log_follower::HasLostBase() const {
-  return scan_start_ > 0 && chain_.head().id.number == 0;
+// another scan would find the same, and operators who retry would cause scans
+// without end.
+bool log_follower::IsDueToLostBase(apply_outcome outcome) const {
+  return has_lost_base_ && (outcome == apply_outcome::kVoidUnknownBase ||
+                            outcome == apply_outcome::kVoidStaleBase);
 }
 
 void log_follower::Watch(uint64_t number) {
--- a/config/log_follower.h
+++ b/config/log_follower.h
@@ -94,8 +94,8 @@
   [[nodiscard]] uint64_t oldest() const { return oldest_; }
   [[nodiscard]] uint64_t next() const { return next_; }
 
-  /// Returns the offset of the last snapshot of the head that a reader may
-  /// start from, if one was read.
+  /// Returns the offset from which a reader reads on that starts from the last
+  /// snapshot of the head, if a snapshot to start from was read.
   [[nodiscard]] std::optional<uint64_t> last_snapshot() const {
     return last_snapshot_;
   }
@@ -111,7 +111,7 @@
   void WidenWindow();
   void ApplyRecord(const log_record& record, follow_result& result);
   void KeepWatched();
-  [[nodiscard]] bool HasLostBase() const;
+  [[nodiscard]] bool IsDueToLostBase(apply_outcome outcome) const;
   [[nodiscard]] bool MatchesRecent(const log_page& page) const;
   bool TryStartAtSnapshot(const log_record& record);
   [[nodiscard]] bool IsContradictedBy(log_position position) const;
@@ -137,6 +137,8 @@
   bool caught_up_ = false;
   bool found_no_snapshot_ = false;
   bool is_verifying_ = false;
+  // Started at the oldest record, and no snapshot has been applied since.
+  bool has_lost_base_ = false;
   std::optional<uint64_t> last_snapshot_;
   std::optional<millis> behind_since_;
   std::optional<uint64_t> watched_number_;
--- a/config/record.h
+++ b/config/record.h
@@ -28,7 +28,8 @@
 struct log_position {
   uint64_t end_offset = 0;  ///< All records below it were applied.
   uint64_t last_hash = 0;   ///< Hash64 of the record just below; 0 if unknown.
-  std::optional<uint64_t> last_snapshot;  ///< Offset of a snapshot of the head.
+  /// Where a reader reads on that starts from a snapshot of the head.
+  std::optional<uint64_t> last_snapshot;
 };
 
 /// Makes a new revision from its base.
--- a/tests/config/replica_test.cc
+++ b/tests/config/replica_test.cc
@@ -71,6 +71,68 @@
   CHECK(f.InForce(0).id.number >= 1);
 }
 
+// Nodes that started from a peer take over its last snapshot. If that snapshot
+// names a position that the log has lost, no later reader can start from it.
+TEST_CASE("a snapshot that no new reader can start from is replaced") {
+  SetBreachesFatal(true);
+  for (uint64_t seed = 0; seed < 60; ++seed) {
+    CAPTURE(seed);
+    fleet f(4, seed);
+    f.Publish(TestRules(kLines, 0, "first"), std::nullopt);
+    f.Run(millis(200));
+    f.log.Trim(seed % 2);
+    f.Run(millis(700));
+    f.log.is_unreachable = true;
+    f.Run(millis(1'300));
+    f.HealNetwork();
+    f.Run(millis(1'200));
+    f.Publish(TestRules(kLines, 1, "second"), f.LogHead().id.number, true);
+    f.log.DropLatest(1 + seed % 3);
+    CHECK(f.Converge(kLimit));
+  }
+}
+
+// A peer may give the position of a snapshot that it applied before the log was
+// reset. The node that asked has just found that no reader can start from it.
+TEST_CASE("a snapshot from before a log reset is replaced") {
+  SetBreachesFatal(true);
+  fleet f(4, 0);
+  f.Publish(TestRules(kLines, 0, "first"), std::nullopt);
+  f.Run(millis(200));
+  f.log.Trim(0);
+  f.Run(millis(900));
+  f.log.is_unreachable = true;
+  f.Run(millis(1'100));
+  f.HealNetwork();
+  f.Run(millis(1'000));
+  f.Publish(TestRules(kLines, 1, "second"), f.LogHead().id.number);
+  f.Run(millis(200));
+  f.log.DropLatest(1);
+  CHECK(f.Converge(kLimit * 3));
+}
+
+// An operator whose base the log has dropped appends its record again and
+// again. Each of these records once caused a new scan of the log.
+TEST_CASE("an operator's retries do not delay the repair of a log") {
+  SetBreachesFatal(true);
+  fleet f(4, 0);
+  f.Publish(TestRules(kLines, 0, "first"), std::nullopt);
+  f.Run(millis(200));
+  f.log.stale_by = 2;
+  f.Run(millis(4'000));
+  f.Publish(TestRules(kLines, 1, "second"), f.LogHead().id.number);
+  f.Run(millis(200));
+  f.log.Trim(1);
+  f.Publish(TestRules(kLines, 1, "third"), f.LogHead().id.number);
+  f.Run(millis(1'000));
+  f.HealNetwork();
+  f.Run(kLimit);
+  const revision_id head = f.LogHead().id;
+  for (size_t node = 0; node < 4; ++node) {
+    CHECK(f.InForce(node).id == head);
+  }
+}
+
 TEST_CASE("a conflict without overlapping lines is rebased on request") {
   for (const bool rebase : {false, true}) {
     fleet f(5, 3);
