Nodes that start get the records from peers; fewer heartbeats between zones

The writes are served one after the other, 4 ms each, so 207 nodes gave up after 0.7 s and wrote again. A restarted node did the same although its record was there.

Change: a node that starts waits for a live node that has the records. At the first start of the fleet one node of each zone reads them for the others. A restarted node writes its record only if it is missing. A wait for a reader of the own zone ends when one is heard; it always took 300 ms before. A stopping node delegates its reads like others. Heartbeats to other zones go to 24 nodes a second instead of 64, those of readers to all; live nodes of the zone and their places on the ring are kept instead of looked up for each report.

Tests: reader_choice_test (first start), store_test (start from a peer, own record, wait ended by the own zone), boot_settings_test.

--- a/balance/heartbeat_schedule.cc
+++ b/balance/heartbeat_schedule.cc
@@ -1,12 +1,19 @@
 #include "balance/heartbeat_schedule.h"
 
-#include <algorithm>
-
 namespace peridotarch {
 
+namespace {
+
+constexpr size_t kMeanWhenSpread = heartbeat_schedule::kPerInterval * 3 / 4;
+
+}  // namespace
+
+// The keys fall on the intervals at random, so the mean stays below the limit.
 void heartbeat_schedule::Advance(size_t nodes) {
-  const size_t needed = (nodes + kPerInterval - 1) / kPerInterval;
-  intervals_ = static_cast<int>(std::max<size_t>(needed, 1));
+  const size_t needed = nodes <= kPerInterval
+                            ? 1
+                            : (nodes + kMeanWhenSpread - 1) / kMeanWhenSpread;
+  intervals_ = static_cast<int>(needed);
   ++current_;
 }
 
--- a/balance/heartbeat_schedule.h
+++ b/balance/heartbeat_schedule.h
@@ -12,7 +12,7 @@
 class heartbeat_schedule {
  public:
   /// Heartbeats that a node sends to other zones, and receives, per interval.
-  static constexpr size_t kPerInterval = 64;
+  static constexpr size_t kPerInterval = 32;
 
   /// Begins the next interval. `nodes` is the number of nodes in other zones.
   void Advance(size_t nodes);
--- a/balance/node_settings.h
+++ b/balance/node_settings.h
@@ -24,8 +24,9 @@
   uint16_t peer_port = 0;        ///< UDP port of the load reports.
   std::string fleet_key;         ///< Keeps out load reports of other fleets.
   uint16_t metrics_port = 0;
-  millis shutdown_grace;  ///< Time from SIGTERM until the kill.
-  retry_limits retries;   ///< Of the whole fleet.
+  bool is_first_start = false;  ///< The whole fleet starts for the first time.
+  millis shutdown_grace;        ///< Time from SIGTERM until the kill.
+  retry_limits retries;         ///< Of the whole fleet.
 };
 
 }  // namespace peridotarch
--- a/balance/reader_choice.cc
+++ b/balance/reader_choice.cc
@@ -1,5 +1,7 @@
 #include "balance/reader_choice.h"
 
+#include <algorithm>
+
 namespace peridotarch {
 
 namespace {
@@ -37,4 +39,15 @@
   return readers_ahead < needed;
 }
 
+bool ShouldReadStoreFirst(uint64_t own_rank,
+                          std::span<const reader_candidate> others,
+                          bool is_first_start, millis now) {
+  return std::none_of(others.begin(), others.end(), [&](const auto& other) {
+    const bool is_live = now - other.heard_at < kReaderTimeout;
+    const bool is_ahead =
+        is_first_start && other.same_zone && other.rank < own_rank;
+    return is_live && (other.has_records || is_ahead);
+  });
+}
+
 }  // namespace peridotarch
--- a/balance/reader_choice.h
+++ b/balance/reader_choice.h
@@ -13,6 +13,7 @@
   uint64_t rank = 0;         ///< Fixed for each node; the lowest ranks read.
   bool same_zone = false;    ///< In the zone of this node.
   bool reads_store = false;  ///< Its last read succeeded.
+  bool has_records = false;  ///< It knows a configuration.
   millis heard_at;           ///< Time of its last report.
 };
 
@@ -23,6 +24,14 @@
 bool ShouldReadStore(uint64_t own_rank,
                      std::span<const reader_candidate> others, millis now);
 
+/// Returns whether this node, which has no records yet, should read them from
+/// the store: if no live node has them. At the first start of the fleet, when
+/// there are no callers yet, the node of the lowest rank in each zone reads
+/// them for the others.
+bool ShouldReadStoreFirst(uint64_t own_rank,
+                          std::span<const reader_candidate> others,
+                          bool is_first_start, millis now);
+
 }  // namespace peridotarch
 
 #endif  // BALANCE_READER_CHOICE_H_
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -58,6 +58,8 @@
   };
   /// Returns whether this node reads the store itself.
   std::function<bool()> must_read_store = [] { return true; };
+  /// The same for a node that has no records yet.
+  std::function<bool()> must_read_store_first = [] { return true; };
   /// Offset in the instances topic up to which this node knows the entries.
   uint64_t instances_offset = 0;
   /// Offset of the last change to the instances that this node knows. Entries
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -60,6 +60,7 @@
     OnLoadChange(change, key);
   };
   node_->must_read_store = [this] { return MustReadStore(); };
+  node_->must_read_store_first = [this] { return MustReadStoreFirst(); };
   node_->find_store_reader = [this] { return FindStoreReader(); };
   // The coroutines keep this object alive until the loop has ended.
   const auto self = shared_from_this();
@@ -163,15 +164,14 @@
   }
   const millis now = boot_clock::Now();
   const std::string datagram = MakeDatagram(report_content::kLoad, now);
-  for (const auto& [remote, state] : peers_) {
-    if (!Includes(recipients::kZone, state, now)) {
-      continue;
-    }
-    const double position = ring_.PositionOf(state.relay_key);
-    if (std::any_of(homes.begin(), homes.end(), [position](const auto& home) {
-          return home.Contains(position);
+  if (ring_is_outdated_) {
+    UpdateRing(now);
+  }
+  for (const ring_peer& peer : ring_peers_) {
+    if (std::any_of(homes.begin(), homes.end(), [&peer](const auto& home) {
+          return home.Contains(peer.position);
         })) {
-      SendTo(remote, datagram);
+      SendTo(peer.remote, datagram);
     }
   }
 }
@@ -198,7 +198,9 @@
   return now - state.heard_at < kLiveTimeout * intervals;
 }
 
-// Silent nodes get only heartbeats, since they may be gone for good.
+// Silent nodes get only heartbeats, since they may be gone for good. A node
+// that reads the store tells all others every second that it does, or the other
+// zones would choose further readers.
 bool peer_reporter::Includes(recipients to, const peer_state& state,
                              millis now) const {
   switch (to) {
@@ -207,7 +209,8 @@
     case recipients::kOtherZones:
       return state.zone != zone_ && IsLive(state, now);
     case recipients::kHeartbeat:
-      return state.zone == zone_ || schedule_.IsDue(state.relay_key);
+      return state.zone == zone_ || node_->reads_store ||
+             schedule_.IsDue(state.relay_key);
     case recipients::kAll:
       return true;
   }
@@ -297,6 +300,7 @@
   const auto executor = socket_.get_executor();
   for (;;) {
     UpdateRing(boot_clock::Now());
+    schedule_.Advance(nodes_in_other_zones_);
     Send(recipients::kHeartbeat, report_content::kWithUsage);
     co_await Sleep(executor, kHeartbeatInterval);
     const millis now = boot_clock::Now();
@@ -308,17 +312,26 @@
 }
 
 void peer_reporter::UpdateRing(millis now) {
+  ring_is_outdated_ = false;
   std::vector<uint32_t> own_zone;
   nodes_in_other_zones_ = 0;
+  ring_peers_.clear();
   for (const auto& [remote, state] : peers_) {
     if (state.zone != zone_) {
       ++nodes_in_other_zones_;
-    } else if (IsLive(state, now) && !state.leaving) {
-      own_zone.push_back(state.relay_key);
+      continue;
+    }
+    if (IsLive(state, now)) {
+      ring_peers_.push_back({remote, state.relay_key});
+      if (!state.leaving) {
+        own_zone.push_back(state.relay_key);
+      }
     }
   }
-  schedule_.Advance(nodes_in_other_zones_);
   ring_.Set(own_relay_key_, std::move(own_zone));
+  for (ring_peer& peer : ring_peers_) {
+    peer.position = ring_.PositionOf(peer.key);
+  }
   node_->live_nodes_in_zone = static_cast<int>(ring_.size());
   node_->selector.SetRingPosition(ring_.PositionOf(own_relay_key_),
                                   ring_.size());
@@ -367,6 +380,7 @@
     state.zone = report.zone;
     state.leaving = report.leaving;
     state.reads_store = report.reads_store;
+    state.has_records = report.config_version > 0;
     const std::string name = reporter->address().to_string();
     node_->selector.Apply(name, report, now);
     if (!report.usage.empty()) {
@@ -374,6 +388,7 @@
     }
     node_->LogHealthChanges();
     if (was_silent && !report.leaving) {
+      ring_is_outdated_ = true;
       Greet(*reporter);
     }
     CompareRecords(name, report);
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -14,6 +14,7 @@
 
 #include "balance/heartbeat_schedule.h"
 #include "balance/node_ring.h"
+#include "balance/reader_choice.h"
 #include "front/front_node.h"
 #include "front/peer_ahead.h"
 #include "platform/awaitable.h"
@@ -52,6 +53,13 @@
     uint32_t relay_key = 0;  ///< Names the reporter in relayed reports.
     bool leaving = false;
     bool reads_store = false;
+    bool has_records = false;  ///< It knows a configuration.
+  };
+  /// A live node of the own zone.
+  struct ring_peer {
+    boost::asio::ip::udp::endpoint remote;
+    uint32_t key = 0;
+    double position = 0;
   };
   /// A report that is sent after a delay.
   struct delayed_report {
@@ -91,6 +99,8 @@
   [[nodiscard]] bool IsLive(const peer_state& state, millis now) const;
   [[nodiscard]] std::optional<std::string> FindStoreReader() const;
   [[nodiscard]] bool MustReadStore() const;
+  [[nodiscard]] bool MustReadStoreFirst() const;
+  [[nodiscard]] std::vector<reader_candidate> ReaderCandidates() const;
 
   const std::shared_ptr<front_node> node_;
   boost::asio::ip::udp::socket socket_;
@@ -99,6 +109,8 @@
   const uint16_t zone_;
   const uint32_t own_relay_key_;
   node_ring ring_;
+  std::vector<ring_peer> ring_peers_;
+  bool ring_is_outdated_ = false;  ///< A node has been heard after silence.
   heartbeat_schedule schedule_;
   size_t nodes_in_other_zones_ = 0;  ///< Silent ones included.
   std::vector<instance_key> freed_;  ///< To be reported by same_zone_report_.
--- a/front/peer_reporter_records.cc
+++ b/front/peer_reporter_records.cc
@@ -1,5 +1,4 @@
 // What the reports say of the store's records and of those who read them.
-#include "balance/reader_choice.h"
 #include "front/peer_reporter.h"
 
 namespace peridotarch {
@@ -15,15 +14,25 @@
   }
 }
 
-bool peer_reporter::MustReadStore() const {
+std::vector<reader_candidate> peer_reporter::ReaderCandidates() const {
   std::vector<reader_candidate> others;
   others.reserve(peers_.size());
   for (const auto& [remote, state] : peers_) {
     others.push_back({state.relay_key, state.zone == zone_,
-                      state.reads_store && !state.leaving, state.heard_at});
+                      state.reads_store && !state.leaving, state.has_records,
+                      state.heard_at});
   }
-  return node_->draining ||
-         ShouldReadStore(own_relay_key_, others, boot_clock::Now());
+  return others;
+}
+
+bool peer_reporter::MustReadStore() const {
+  return ShouldReadStore(own_relay_key_, ReaderCandidates(), boot_clock::Now());
+}
+
+bool peer_reporter::MustReadStoreFirst() const {
+  return ShouldReadStoreFirst(own_relay_key_, ReaderCandidates(),
+                              node_->settings.is_first_start,
+                              boot_clock::Now());
 }
 
 // Prefers peers of this zone. Chooses at random, so that a single peer does not
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -29,6 +29,15 @@
 constexpr millis kPendingRemovalWait(200);
 constexpr millis kStartupRetryDelay(150);  // until this node can serve
 constexpr millis kDelegationPollInterval(250);
+constexpr millis kStartupPollInterval(15);
+// A node that starts gets the records from a peer, since each call to the store
+// costs money. It reads the store if it cannot list its peers for the first
+// time, or if none of them has the records in the second.
+constexpr millis kMaxListTime(300);
+constexpr millis kMaxPeerWait(1'200);
+constexpr millis kGreetingTime(40);  // until the peers have answered a report
+// The store writes the records of all nodes one after the other.
+constexpr millis kMaxFirstListTime(4'000);
 constexpr millis kRetryDelay(900);  // even a refused call costs money
 
 endpoint StoreEndpoint(const front_node& node) {
@@ -41,7 +50,8 @@
     : node_(std::move(node)),
       config_client_(node_->context.get_executor(), StoreEndpoint(*node_)),
       instance_client_(node_->context.get_executor(), StoreEndpoint(*node_)),
-      node_client_(node_->context.get_executor(), StoreEndpoint(*node_)) {}
+      node_client_(node_->context.get_executor(), StoreEndpoint(*node_)),
+      own_zone_wait_(node_->context) {}
 
 // The coroutine keeps this object alive until the loop has ended.
 void store_watch::Spawn(awaitable<void> (store_watch::*run)()) {
@@ -53,6 +63,7 @@
 
 void store_watch::Start(std::function<void(const host_port&)> on_peer) {
   on_peer_ = std::move(on_peer);
+  started_at_ = boot_clock::Now();
   Spawn(&store_watch::FollowConfig);
   Spawn(&store_watch::FollowInstances);
   Spawn(&store_watch::Announce);
@@ -134,9 +145,38 @@
 // load reports, and read them from the node that reports them. They do not
 // announce them again, or each change would make every node write to all.
 bool store_watch::DelegatesReads() const {
-  return node_->routes.Load() != nullptr && node_->instances_known &&
-         config_reached_ && instances_reached_ &&
-         !instances_.HasPendingRemovals() && !node_->must_read_store();
+  if (!config_reached_ || !instances_reached_) {
+    return false;
+  }
+  if (!HasRecords()) {
+    return WaitsForPeers();
+  }
+  return !instances_.HasPendingRemovals() && !node_->must_read_store();
+}
+
+bool store_watch::HasRecords() const {
+  return node_->routes.Load() != nullptr && node_->instances_known;
+}
+
+// A node that starts alone finds peers that have the records. At the first
+// start of the fleet one node of each zone reads them for the others. When all
+// nodes restart no peer has them, and each reads the store without delay.
+bool store_watch::WaitsForPeers() const {
+  const millis now = boot_clock::Now();
+  if (!nodes_listed_at_) {
+    return now - started_at_ < MaxListTime();
+  }
+  const millis since_listed = now - *nodes_listed_at_;
+  return since_listed < kGreetingTime ||
+         (since_listed < kMaxPeerWait && !node_->must_read_store_first());
+}
+
+millis store_watch::MaxListTime() const {
+  return node_->settings.is_first_start ? kMaxFirstListTime : kMaxListTime;
+}
+
+millis store_watch::DelegationPollInterval() const {
+  return HasRecords() ? kDelegationPollInterval : kStartupPollInterval;
 }
 
 awaitable<void> store_watch::FollowConfig() {
@@ -144,7 +184,7 @@
   for (;;) {
     if (DelegatesReads()) {
       config_read_waits_ = false;
-      co_await Sleep(executor, kDelegationPollInterval);
+      co_await Sleep(executor, DelegationPollInterval());
       continue;
     }
     std::string failed;
@@ -254,7 +294,7 @@
   for (;;) {
     if (DelegatesReads()) {
       instances_read_waits_ = false;
-      co_await Sleep(executor, kDelegationPollInterval);
+      co_await Sleep(executor, DelegationPollInterval());
       continue;
     }
     std::string failed;
@@ -278,30 +318,56 @@
   }
 }
 
-// A node writes its own record before it reads the records of the others. If
-// two nodes start together, at least one of them therefore finds the record of
-// the other, which then learns of the first node from its load reports.
+// Returns whether the record of this node is among them.
+awaitable<bool> store_watch::ListNodes(const node_record& self) {
+  const keyed_page page =
+      co_await node_client_.Newest(kNodeTopic, kCallTimeout);
+  bool found_self = false;
+  for (const keyed_record& record : page.records) {
+    if (!record.value) {
+      continue;
+    }
+    try {
+      const host_port peer = DecodeNode(record.key, *record.value).peer;
+      found_self = found_self || (record.key == self.node && peer == self.peer);
+      on_peer_(peer);
+    } catch (const codec_error& failure) {
+      node_->log.Write("node_record_refused",
+                       {{"record", record.key}, {"error", failure.what()}});
+    }
+  }
+  if (!nodes_listed_at_) {
+    nodes_listed_at_ = boot_clock::Now();
+  }
+  co_return found_self;
+}
+
+// A node that restarts finds its record in the store and does not write it
+// again. One that writes it reads the records of the others after that. If two
+// nodes start together, at least one of them therefore finds the record of the
+// other, which then learns of the first node from its load reports.
 awaitable<void> store_watch::Announce() {
   const asio::any_io_executor executor = node_->context.get_executor();
   node_record self;
   self.node = node_->settings.node;
   self.peer = {node_->settings.callers.host, node_->settings.peer_port};
   const std::string value = Encode(self);
-  bool written = false;
+  bool must_write = node_->settings.is_first_start;
+  bool is_written = false;
   for (;;) {
     std::string failed;
     try {
-      if (!written) {
-        co_await node_client_.Put(kNodeTopic, self.node, value, kCallTimeout);
-        written = true;
+      if (must_write && !is_written) {
+        co_await node_client_.Put(kNodeTopic, self.node, value,
+                                  std::max(kCallTimeout, MaxListTime()));
+        is_written = true;
       }
-      const keyed_page page =
-          co_await node_client_.Newest(kNodeTopic, kCallTimeout);
-      for (const keyed_record& record : page.records) {
-        on_peer_(DecodeNode(record.key, *record.value).peer);
+      if (co_await ListNodes(self) || is_written) {
+        break;
       }
-      break;
-    } catch (const error& failure) {
+      must_write = true;
+      continue;
+    } catch (const platform_error& failure) {
       failed = failure.what();
     }
     node_->log.Write("announce_failed", {{"error", failed}});
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -1,6 +1,7 @@
 #ifndef FRONT_STORE_WATCH_H_
 #define FRONT_STORE_WATCH_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -33,6 +34,7 @@
   awaitable<void> FollowConfig();
   awaitable<void> FollowInstances();
   awaitable<void> Announce();
+  awaitable<bool> ListNodes(const node_record& self);
   awaitable<void> ReadFromPeerAhead();
   awaitable<void> ReadFromPeer(std::string_view topic, const endpoint& remote);
   [[nodiscard]] millis InstancesReadWait() const;
@@ -43,6 +45,13 @@
   bool ApplyConfig(const keyed_page& page);
   void ApplyInstances(const keyed_page& page);
   [[nodiscard]] bool DelegatesReads() const;
+  /// Returns whether this node knows a configuration and the instances.
+  [[nodiscard]] bool HasRecords() const;
+  /// Returns whether this node, which lacks records, waits for a peer's.
+  [[nodiscard]] bool WaitsForPeers() const;
+  /// Returns how long this node waits to be listed and to list the others.
+  [[nodiscard]] millis MaxListTime() const;
+  [[nodiscard]] millis DelegationPollInterval() const;
   /// Returns whether the instances have changed.
   bool PublishInstances();
   [[nodiscard]] millis PauseAfterRead(bool reached) const;
@@ -58,12 +67,17 @@
   instance_list instances_;
   bool is_catching_up_ = false;
   peer_ahead peer_ahead_;
+  /// Runs while this node waits for a reader of its own zone.
+  boost::asio::steady_timer own_zone_wait_;
   bool store_reached_ = true;       ///< The last call to the store succeeded.
   bool config_reached_ = true;      ///< The last read of the topic succeeded.
   bool instances_reached_ = true;   ///< The last read of the topic succeeded.
   bool config_read_waits_ = false;  ///< The next read waits for a change.
   bool instances_read_waits_ = false;
   size_t next_seed_ = 0;
+  millis started_at_;
+  /// When the other nodes were read from the store.
+  std::optional<millis> nodes_listed_at_;
   std::function<void(const host_port&)> on_peer_;
 };
 
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -1,9 +1,12 @@
 // Reads of the store's records at other nodes.
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include "core/error.h"
 #include "front/store_watch.h"
+#include "platform/to_chrono.h"
 #include "proxy/executor.h"
 
 namespace peridotarch {
@@ -73,6 +76,9 @@
   if (!is_catching_up_ || !peer.is_other_zone || peer_ahead_.is_other_zone) {
     peer_ahead_ = peer;
   }
+  if (!peer.is_other_zone) {
+    own_zone_wait_.cancel();
+  }
   if (!is_catching_up_) {
     is_catching_up_ = true;
     Spawn(&store_watch::ReadFromPeerAhead);
@@ -86,10 +92,14 @@
   const auto spread = static_cast<uint64_t>(
       (kCatchUpSpreadPerNode * node_->live_nodes_in_zone).count());
   const millis turn(static_cast<int64_t>(node_->random.Below(spread + 1)));
-  co_await Sleep(executor, turn);
   if (peer_ahead_.is_other_zone) {
-    co_await Sleep(executor, kOtherZoneDelay);
+    boost::system::error_code
+        cancelled;  // A peer of this zone has the records.
+    own_zone_wait_.expires_after(ToChrono(kOtherZoneDelay));
+    co_await own_zone_wait_.async_wait(
+        asio::redirect_error(asio::use_awaitable, cancelled));
   }
+  co_await Sleep(executor, turn);
   const peer_ahead peer = peer_ahead_;
   const endpoint remote{peer.address, node_->settings.control.port};
   const bool config_changed = peer.config_version > node_->ConfigVersion();
--- a/tests/balance/reader_choice_test.cc
+++ b/tests/balance/reader_choice_test.cc
@@ -11,7 +11,7 @@
 std::vector<reader_candidate> Zone(int nodes) {
   std::vector<reader_candidate> zone;
   for (int i = 0; i < nodes; ++i) {
-    zone.push_back({static_cast<uint64_t>(i + 1), true, true, kNow});
+    zone.push_back({static_cast<uint64_t>(i + 1), true, true, true, kNow});
   }
   return zone;
 }
@@ -48,7 +48,7 @@
   auto others = Zone(4);
   for (const int away : {2, 3}) {
     reader_candidate reader{static_cast<uint64_t>(away + 100), false, true,
-                            kNow};
+                            true, kNow};
     others.push_back(reader);
   }
   CHECK(ShouldReadStore(0, others, kNow));
@@ -63,5 +63,32 @@
   }
 }
 
+TEST_CASE("first start of all nodes: one of each zone reads the store first") {
+  auto others = Zone(4);
+  for (reader_candidate& other : others) {
+    other.reads_store = false;
+    other.has_records = false;
+  }
+  CHECK(ShouldReadStoreFirst(0, others, true, kNow));
+  CHECK_FALSE(ShouldReadStoreFirst(2, others, true, kNow));
+  CHECK(ShouldReadStoreFirst(2, {}, true, kNow));
+  SECTION("the lower rank is silent or in another zone") {
+    others[0].heard_at = kNow - millis(1'400);
+    CHECK(ShouldReadStoreFirst(2, others, true, kNow));
+    others[0].heard_at = kNow;
+    others[0].same_zone = false;
+    CHECK(ShouldReadStoreFirst(2, others, true, kNow));
+  }
+  SECTION("callers wait when all nodes restart, so each reads the store") {
+    CHECK(ShouldReadStoreFirst(2, others, false, kNow));
+  }
+  SECTION("a node that starts alone finds others that have the records") {
+    others[3].has_records = true;
+    others[3].same_zone = false;
+    CHECK_FALSE(ShouldReadStoreFirst(0, others, true, kNow));
+    CHECK_FALSE(ShouldReadStoreFirst(0, others, false, kNow));
+  }
+}
+
 }  // namespace
 }  // namespace peridotarch
--- a/tests/front/store_test.cc
+++ b/tests/front/store_test.cc
@@ -96,6 +96,81 @@
   CHECK_FALSE(node->reads_store);
 }
 
+// A node that restarts finds its record in the store.
+TEST_CASE("restart of a node: its record is written only if it is missing") {
+  front_world world;
+  bool has_record = false;
+  int writes = 0;
+  int lists = 0;
+  raw_server store(world.context, [&](const http_request& request) {
+    const std::string target(request.target());
+    if (target.find("keyed.status") == std::string::npos) {
+      return AnswerAsStore(request);
+    }
+    if (target.find("log-append") != std::string::npos) {
+      ++writes;
+      return OkAnswer(R"({"offset":0,"end_offset":1})");
+    }
+    ++lists;
+    return has_record ? NewestAnswer("edge-1", R"({"address":"127.0.0.1:9"})")
+                      : NewestAnswer("", "");
+  });
+  const auto node = MakeNode(world.context, store.port(), 1);
+  node->settings.callers.host = "127.0.0.1";
+  node->settings.peer_port = 9;
+  const auto watch = std::make_shared<store_watch>(node);
+  SECTION("it is there") {
+    has_record = true;
+    watch->Start([](const host_port&) {});
+    world.RunUntil([&] { return lists > 0 && node->Ready(); });
+    CHECK(lists == 1);
+    CHECK(writes == 0);
+  }
+  SECTION("it is missing") {
+    watch->Start([](const host_port&) {});
+    world.RunUntil([&] { return lists > 1 && node->Ready(); });
+    CHECK(lists == 2);
+    CHECK(writes == 1);
+  }
+  SECTION("first start of the fleet") {
+    node->settings.is_first_start = true;
+    watch->Start([](const host_port&) {});
+    world.RunUntil([&] { return lists > 0 && node->Ready(); });
+    CHECK(lists == 1);
+    CHECK(writes == 1);
+  }
+}
+
+// Calls to the store cost money, and all nodes may start at the same moment.
+TEST_CASE("restart of all nodes: a node gets the records from a peer") {
+  front_world world;
+  int record_reads = 0;
+  raw_server store(world.context, [&record_reads](const http_request& request) {
+    const std::string target(request.target());
+    const bool lists_nodes = target.find("keyed.status") != std::string::npos;
+    record_reads += lists_nodes ? 0 : 1;
+    return AnswerAsStore(request);
+  });
+  raw_server peer(world.context, AnswerAsStore);
+  const auto node = MakeNode(world.context, store.port(), peer.port());
+  node->must_read_store = [] { return false; };
+  node->must_read_store_first = [] { return false; };
+  const auto watch = std::make_shared<store_watch>(node);
+  watch->Start([](const host_port&) {});
+  SECTION("from the first that has them") {
+    watch->CatchUp(kPeerAhead);
+    world.RunUntil([&node] { return node->Ready(); });
+    CHECK(node->Ready());
+    CHECK(record_reads == 0);
+  }
+  SECTION("no peer has them, so it reads the store itself") {
+    world.RunUntil([] { return false; });  // the wait for peers ends meanwhile
+    world.RunUntil([&node] { return node->Ready(); });
+    CHECK(node->Ready());
+    CHECK(record_reads >= 2);
+  }
+}
+
 // Reads that waited for a change past the end of a store outage delayed a new
 // configuration by more than two seconds.
 TEST_CASE("store unreachable: the first read after a failure does not wait") {
@@ -147,6 +222,25 @@
   CHECK(version() == 4);
 }
 
+// Most nodes hear of a change from another zone first.
+TEST_CASE("a reader of the own zone ends the wait before a read elsewhere") {
+  front_world world;
+  raw_server store(world.context,
+                   [](const http_request&) { return std::string(); });
+  raw_server peer(world.context, AnswerAsStore);
+  const auto node = MakeNode(world.context, store.port(), peer.port());
+  const auto watch = std::make_shared<store_watch>(node);
+  peer_ahead other_zone = kPeerAhead;
+  other_zone.is_other_zone = true;
+  const millis started_at = boot_clock::Now();
+  watch->CatchUp(other_zone);
+  boost::asio::steady_timer heard(world.context, std::chrono::milliseconds(50));
+  heard.async_wait([&](const auto&) { watch->CatchUp(kPeerAhead); });
+  world.RunUntil([&node] { return node->ConfigVersion() == 4; });
+  CHECK(node->ConfigVersion() == 4);
+  CHECK(boot_clock::Now() - started_at < millis(300));
+}
+
 TEST_CASE("an older page does not replace newer entries read from a peer") {
   front_world world;
   raw_server store(world.context,
--- a/tests/platform/boot_settings_test.cc
+++ b/tests/platform/boot_settings_test.cc
@@ -49,6 +49,17 @@
   return "";
 }
 
+TEST_CASE("the first start of the fleet is told by the settings") {
+  CHECK_FALSE(ReadBootSettings(settings_file(kGood).path()).is_first_start);
+  for (const bool first : {true, false}) {
+    const settings_file file(kGood + "bootstrap=" + (first ? "true" : "false") +
+                             "\n");
+    CHECK(ReadBootSettings(file.path()).is_first_start == first);
+  }
+  CHECK(ErrorOf(kGood + "bootstrap=yes\n").find("bootstrap") !=
+        std::string::npos);
+}
+
 TEST_CASE("settings of the platform are read, unknown ones are ignored") {
   const settings_file file(kGood);
   const node_settings settings = ReadBootSettings(file.path());
