Trials are left to retryable requests; a request waits for a starting node's records

On the box ledger a fifth of the requests can be retried, and they make seven of eight trials anyway; the others lost 200 answers, many at instances that were suspect for a slow answer (a fifth of such trials fail).

Change: where at least a twentieth of a service's requests can be retried, those that cannot wait 1.5 s longer before they are used for a trial.

Ruled out: longer waits where nothing can be retried, since an instance that has recovered must have work again soon when many requests fail.

Tests: trial_requests_test (mixed load), call_test (restart of all nodes); both fail before.

--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -162,7 +162,9 @@
   };
   struct service_stats {
     work_times work;
-    int least_urgent = 0;     ///< Highest priority number seen.
+    int least_urgent = 0;  ///< Highest priority number seen.
+    /// Moving mean of the share of requests that can be retried.
+    double retryable_share = 0;
     int reserve_denials = 0;  ///< In a row, see kMaxReserveDenials.
   };
   struct recent_outcome {
@@ -203,7 +205,7 @@
   [[nodiscard]] candidates FindCandidates(
       const std::vector<tracked_instance*>& members,
       const choice_request& request, const latency_limits& limits,
-      int least_urgent, millis now) const;
+      const service_stats& stats, millis now) const;
   [[nodiscard]] double LoadOf(const tracked_instance& instance,
                               millis now) const;
   [[nodiscard]] static double WorkRounds(const tracked_instance& instance);
@@ -212,7 +214,8 @@
                                          millis now);
   [[nodiscard]] bool IsDueForTrial(const tracked_instance& instance,
                                    const choice_request& request,
-                                   int least_urgent, millis now) const;
+                                   const service_stats& stats,
+                                   millis now) const;
   [[nodiscard]] bool IsSelectable(const tracked_instance& instance,
                                   const choice_request& request,
                                   millis now) const;
--- a/balance/instance_selector_choice.cc
+++ b/balance/instance_selector_choice.cc
@@ -28,6 +28,11 @@
 // seconds. Each further trial that cannot be retried costs its caller the
 // answer.
 constexpr millis kDelayAfterFailedTrial(2'200);
+// Where requests come that can be retried, those that cannot leave the trials
+// to them: half of the trials in the first seconds after a failure fail.
+constexpr double kRetryableShareForTrials = 0.05;
+constexpr double kRetryableSampleWeight = 1.0 / 20;
+constexpr millis kDelayForRetryable(1'500);
 // Share of the available time that the expected answer may take. It shrinks
 // with each step of priority, so that the least urgent requests are refused
 // first. Longer queues do not raise the throughput of an overloaded service;
@@ -81,7 +86,8 @@
 // requests arrive.
 bool instance_selector::IsDueForTrial(const tracked_instance& instance,
                                       const choice_request& request,
-                                      int least_urgent, millis now) const {
+                                      const service_stats& stats,
+                                      millis now) const {
   if (instance.InFlight() > 0 || !request.is_first_attempt) {
     return false;
   }
@@ -93,7 +99,10 @@
   if (instance.health.has_failed_trial()) {
     overdue = overdue - kDelayAfterFailedTrial;
   }
-  return overdue >= kAnyTrialDelay || (request.priority >= least_urgent &&
+  if (stats.retryable_share >= kRetryableShareForTrials) {
+    overdue = overdue - kDelayForRetryable;
+  }
+  return overdue >= kAnyTrialDelay || (request.priority >= stats.least_urgent &&
                                        overdue >= kLeastUrgentTrialDelay);
 }
 
@@ -167,14 +176,14 @@
 instance_selector::candidates instance_selector::FindCandidates(
     const std::vector<tracked_instance*>& members,
     const choice_request& request, const latency_limits& limits,
-    int least_urgent, millis now) const {
+    const service_stats& stats, millis now) const {
   candidates options;
   for (tracked_instance* instance : members) {
     if (!IsSelectable(*instance, request, now)) {
       continue;
     }
     if (instance->health.suspect()) {
-      if (IsDueForTrial(*instance, request, least_urgent, now)) {
+      if (IsDueForTrial(*instance, request, stats, now)) {
         options.trial = instance;
         return options;
       }
@@ -219,9 +228,12 @@
   service_stats& stats = stats_[found->first];
   stats.least_urgent = std::max(stats.least_urgent, request.priority);
   stats.work.NoteRequest(request.route, request.objective);
+  stats.retryable_share +=
+      kRetryableSampleWeight *
+      ((request.is_retryable ? 1 : 0) - stats.retryable_share);
   const latency_limits limits = LimitsFor(stats, request);
   const candidates options =
-      FindCandidates(found->second, request, limits, stats.least_urgent, now);
+      FindCandidates(found->second, request, limits, stats, now);
   if (options.trial != nullptr) {
     return MakeChoice(*options.trial, choice_basis::kTrial, limits, now);
   }
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -9,6 +9,7 @@
 #include "balance/request_deadlines.h"
 #include "core/invariant.h"
 #include "front/attempt_record.h"
+#include "front/record_wait.h"
 #include "front/retry_choice.h"
 #include "platform/call_wire.h"
 #include "platform/to_chrono.h"
@@ -56,7 +57,6 @@
   [[nodiscard]] millis MaxIdleTime() const {
     return route_->idempotent ? kMaxIdleTimeIdempotent : kMaxIdleTime;
   }
-  [[nodiscard]] millis Jitter(millis span);
   void LogAttempt(const attempt_record& attempt, retry_choice retry);
   void LogRetryDenied();
   void LogAnswer(reason why, int status, millis retry_after);
@@ -139,14 +139,6 @@
   return request;
 }
 
-// Varies the delay from 0.5 to 1.5 times `span`, so that callers that are
-// refused at the same moment do not return together.
-millis request_handler::Jitter(millis span) {
-  constexpr double kMinFactor = 0.5;
-  return millis(static_cast<int64_t>(static_cast<double>(span.count()) *
-                                     (kMinFactor + node_.random.Unit())));
-}
-
 awaitable<void> request_handler::RunAttempt(attempt_record& attempt) {
   const millis attempt_started_at = boot_clock::Now();
   const instance_key key = attempt.choice.key;
@@ -335,7 +327,7 @@
 http_response request_handler::Fail(const attempt_record& attempt) {
   const reason why = FailureReason(attempt);
   if (possible_runs_ == 0) {
-    return Refuse(why, Jitter(RetryAfterFailure(attempt, why)));
+    return Refuse(why, node_.Jitter(RetryAfterFailure(attempt, why)));
   }
   // An earlier attempt may have run even if the last one did not, so the
   // answer must not state that the request did not run.
@@ -344,11 +336,12 @@
 }
 
 awaitable<http_response> request_handler::Run() {
+  co_await WaitForRecords(node_, state_);
   if (const auto refused = Prepare()) {
     const bool other_node_can_serve =
         *refused == reason::kNotConfigured || *refused == reason::kShuttingDown;
     co_return Refuse(*refused, other_node_can_serve
-                                   ? Jitter(kOtherNodeRetryAfter)
+                                   ? node_.Jitter(kOtherNodeRetryAfter)
                                    : millis(0));
   }
   attempt_record attempt;
@@ -364,8 +357,8 @@
       }
       const bool no_instance = next.choice.basis == choice_basis::kNoInstance;
       co_return Refuse(no_instance ? reason::kNoCapacity : reason::kOverloaded,
-                       Jitter(no_instance ? kNoInstanceRetryAfter
-                                          : next.choice.retry_after));
+                       node_.Jitter(no_instance ? kNoInstanceRetryAfter
+                                                : next.choice.retry_after));
     }
     attempt = std::move(next);
     co_await RunAttempt(attempt);
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -25,6 +25,7 @@
     : context(io),
       settings(std::move(initial_settings)),
       incarnation(IncarnationAt(wall_clock::Now())),
+      started_at(boot_clock::Now()),
       routes(nullptr),
       selector(settings.zone, seed),
       pool(io),
@@ -37,10 +38,12 @@
   return in_force ? in_force->config().version : 0;
 }
 
-bool front_node::Ready() const {
-  return !draining && instances_known && routes.Load() != nullptr;
+bool front_node::HasRecords() const {
+  return instances_known && routes.Load() != nullptr;
 }
 
+bool front_node::Ready() const { return !draining && HasRecords(); }
+
 void front_node::Verify(bool holds, invariant which,
                         const std::string& request) {
   if (!holds) {
@@ -52,6 +55,13 @@
   Check(holds, which);
 }
 
+// Callers that are refused at the same moment do not return together.
+millis front_node::Jitter(millis span) {
+  constexpr double kMinFactor = 0.5;
+  return millis(static_cast<int64_t>(static_cast<double>(span.count()) *
+                                     (kMinFactor + random.Unit())));
+}
+
 void front_node::CountAnswer(reason why, millis taken) {
   counters
       .Counter("answers_total", "Answers to callers by reason.",
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -41,6 +41,7 @@
   node_settings settings;
   /// Start time by the wall clock, in units of 16 ms.
   const uint64_t incarnation;
+  const millis started_at;
   rcu_cell<route_index> routes;  ///< Null until a configuration was read.
   instance_selector selector;
   connection_pool pool;
@@ -78,11 +79,15 @@
 
   /// Returns the version of the configuration in force, 0 if there is none.
   [[nodiscard]] uint64_t ConfigVersion() const;
+  /// Returns whether the node knows a configuration and the instances.
+  [[nodiscard]] bool HasRecords() const;
   /// Returns whether the node can serve new callers.
   [[nodiscard]] bool Ready() const;
   /// Checks an invariant; a breach is counted and logged with the id of the
   /// request. `request` is empty if the invariant concerns no request.
   void Verify(bool holds, invariant which, const std::string& request);
+  /// Returns a random time from 0.5 to 1.5 times `span`.
+  [[nodiscard]] millis Jitter(millis span);
   /// Counts an answer to a caller by its reason, and records the time taken.
   void CountAnswer(reason why, millis taken);
   /// Closes the connections of callers that have been idle for too long.
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -63,7 +63,6 @@
 
 void store_watch::Start(std::function<void(const host_port&)> on_peer) {
   on_peer_ = std::move(on_peer);
-  started_at_ = boot_clock::Now();
   Spawn(&store_watch::FollowConfig);
   Spawn(&store_watch::FollowInstances);
   Spawn(&store_watch::Announce);
@@ -148,23 +147,19 @@
   if (!config_reached_ || !instances_reached_) {
     return false;
   }
-  if (!HasRecords()) {
+  if (!node_->HasRecords()) {
     return WaitsForPeers();
   }
   return !instances_.HasPendingRemovals() && !node_->must_read_store();
 }
 
-bool store_watch::HasRecords() const {
-  return node_->routes.Load() != nullptr && node_->instances_known;
-}
-
 // A node that starts alone finds peers that have the records. At the first
 // start of the fleet one node of each zone reads them for the others. When all
 // nodes restart no peer has them, and each reads the store without delay.
 bool store_watch::WaitsForPeers() const {
   const millis now = boot_clock::Now();
   if (!nodes_listed_at_) {
-    return now - started_at_ < MaxListTime();
+    return now - node_->started_at < MaxListTime();
   }
   const millis since_listed = now - *nodes_listed_at_;
   return since_listed < kGreetingTime ||
@@ -176,7 +171,7 @@
 }
 
 millis store_watch::DelegationPollInterval() const {
-  return HasRecords() ? kDelegationPollInterval : kStartupPollInterval;
+  return node_->HasRecords() ? kDelegationPollInterval : kStartupPollInterval;
 }
 
 awaitable<void> store_watch::FollowConfig() {
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -45,8 +45,6 @@
   bool ApplyConfig(const keyed_page& page);
   void ApplyInstances(const keyed_page& page);
   [[nodiscard]] bool DelegatesReads() const;
-  /// Returns whether this node knows a configuration and the instances.
-  [[nodiscard]] bool HasRecords() const;
   /// Returns whether this node, which lacks records, waits for a peer's.
   [[nodiscard]] bool WaitsForPeers() const;
   /// Returns how long this node waits to be listed and to list the others.
@@ -75,7 +73,6 @@
   bool config_read_waits_ = false;  ///< The next read waits for a change.
   bool instances_read_waits_ = false;
   size_t next_seed_ = 0;
-  millis started_at_;
   /// When the other nodes were read from the store.
   std::optional<millis> nodes_listed_at_;
   std::function<void(const host_port&)> on_peer_;
--- /dev/null
+++ b/tests/balance/trial_requests_test.cc
@@ -0,0 +1,47 @@
+#include <catch2/catch.hpp>
+
+#include "balance/instance_selector.h"
+#include "selector_fixture.h"
+
+namespace peridotarch {
+namespace {
+
+constexpr millis kStart(10'000);
+constexpr int kRequestsBefore = 100;
+
+/// Lets the selector see requests, every `retryable_each`th of them retryable.
+void SendRequests(instance_selector& selector, int retryable_each) {
+  for (int i = 0; i < kRequestsBefore; ++i) {
+    selector.Choose(MakeRequest("ledger", i % retryable_each == 0), kStart);
+  }
+}
+
+// On the large deployment a third of the requests lost to gray instances were
+// trials of requests that could not be retried, although a fifth of the
+// service's requests could.
+TEST_CASE("mixed load: trials are left to requests that can be retried") {
+  instance_selector selector("a", 1);
+  selector.SetInstances(MakeEntries(6, "ledger"), kStart);
+  const instance_key gray = KeyOf("ledger-0");
+  const auto basis_of = [&](bool is_retryable, millis after) {
+    return selector.Choose(MakeRequest("ledger", is_retryable), kStart + after)
+        .basis;
+  };
+  SECTION("every fifth can be retried") {
+    SendRequests(selector, 5);
+    selector.Begin(gray);
+    selector.End(gray, attempt_outcome::kFailed, millis(5), kStart);
+    CHECK(basis_of(false, millis(1'900)) == choice_basis::kRegular);
+    CHECK(basis_of(true, millis(1'100)) == choice_basis::kTrial);
+    CHECK(basis_of(false, millis(3'400)) == choice_basis::kTrial);
+  }
+  SECTION("none can be retried, so the instance is not left out for longer") {
+    SendRequests(selector, kRequestsBefore + 1);
+    selector.Begin(gray);
+    selector.End(gray, attempt_outcome::kFailed, millis(5), kStart);
+    CHECK(basis_of(false, millis(1'900)) == choice_basis::kTrial);
+  }
+}
+
+}  // namespace
+}  // namespace peridotarch
--- a/tests/front/call_test.cc
+++ b/tests/front/call_test.cc
@@ -14,6 +14,20 @@
   return InstanceAnswer(RequestId(request), 200, "body", kDigestHeader);
 }
 
+// After a restart of all nodes their callers connect at once, and a refused
+// one would return only after half a second.
+TEST_CASE("restart of all nodes: requests wait for the first records") {
+  front_world world;
+  boost::asio::steady_timer records(world.context,
+                                    std::chrono::milliseconds(60));
+  records.async_wait([&world](const auto&) {
+    world.AddRoute("/tally/", true);
+    world.AddInstance(GoodAnswer);
+  });
+  const auto answer = world.SendRequest(verb::get, "/tally/1");
+  CHECK(answer.result_int() == 200);
+}
+
 TEST_CASE(
     "a request reaches an instance and the caller gets its whole answer") {
   front_world world;
