Unused instances are left to retryable requests; restarted nodes do not wait for a peer without instances

An instance without requests for a second ranked as if it had one request fewer, for all requests. With 480 instances and 1.2 requests a second each, such an instance has often turned gray unnoticed, and a request that cannot be retried is lost there.

Change: where a service's requests can be retried, only these prefer unused instances. A peer has the records if it has both kinds; a restarted node reads at a peer at once, without waiting for its turn or for a reader of its zone, and reads the store after 250 ms. The address of a peer is kept as text.

Tests: trial_requests_test (unused instances), peer_test (a configuration alone).

--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -200,6 +200,9 @@
     double shortest_ms = 0;
   };
 
+  /// Returns whether enough of the service's requests can be retried to find
+  /// out about its instances.
+  static bool HasRetryableTraffic(const service_stats& stats);
   static latency_limits LimitsFor(const service_stats& stats,
                                   const choice_request& request);
   [[nodiscard]] candidates FindCandidates(
@@ -225,7 +228,8 @@
                                            millis now) const;
   /// Returns nullptr if `instances` is empty.
   tracked_instance* LeastLoaded(const std::vector<tracked_instance*>& instances,
-                                const choice_request& request, millis now);
+                                const choice_request& request,
+                                const service_stats& stats, millis now);
   void ApplyOutcome(tracked_instance& instance, attempt_outcome outcome,
                     const std::string& told_by, millis now);
   void CountSuspects();
--- a/balance/instance_selector_choice.cc
+++ b/balance/instance_selector_choice.cc
@@ -80,6 +80,10 @@
              request.tried.end();
 }
 
+bool instance_selector::HasRetryableTraffic(const service_stats& stats) {
+  return stats.retryable_share >= kRetryableShareForTrials;
+}
+
 // A request that has failed once is not used for a trial, since two gray
 // instances would use up its attempts. A suspect gets one trial at a time: the
 // report of a trial reaches the peers in the zone before most of their own
@@ -99,7 +103,7 @@
   if (instance.health.has_failed_trial()) {
     overdue = overdue - kDelayAfterFailedTrial;
   }
-  if (stats.retryable_share >= kRetryableShareForTrials) {
+  if (HasRetryableTraffic(stats)) {
     overdue = overdue - kDelayForRetryable;
   }
   return overdue >= kAnyTrialDelay || (request.priority >= stats.least_urgent &&
@@ -111,13 +115,16 @@
 // them, some rank as if they had a request fewer: those that this node shares
 // with few others, as it knows their load best; those to which it has an idle
 // connection, as new ones are paid for; and those that no node has used lately,
-// or nodes would stay with those that they are connected to. One request is
+// or nodes would stay with those that they are connected to. Such an instance
+// may have turned gray unnoticed, so where some requests can be retried, only
+// these find that out. One request is
 // little enough that no instance is filled while others are idle: some slow
 // down when they are nearly full. Ties are broken at random, since nodes that
 // see the same load would otherwise choose the same instance.
 instance_selector::tracked_instance* instance_selector::LeastLoaded(
     const std::vector<tracked_instance*>& instances,
-    const choice_request& request, millis now) {
+    const choice_request& request, const service_stats& stats, millis now) {
+  const bool explores = request.is_retryable || !HasRetryableTraffic(stats);
   tracked_instance* best = nullptr;
   std::tuple<bool, double, bool, bool, uint64_t> best_rank;
   for (tracked_instance* instance : instances) {
@@ -125,7 +132,7 @@
     const bool is_other_zone = instance->entry.zone != zone_;
     const bool is_preferred =
         instance->HasConnection(request.max_idle_time, now) ||
-        now - instance->used_at > kUnusedTime;
+        (explores && now - instance->used_at > kUnusedTime);
     const int bonus = (is_preferred ? 1 : 0) + (instance->is_home ? 1 : 0);
     const std::tuple rank(
         is_other_zone || load >= 1,
@@ -237,26 +244,28 @@
   if (options.trial != nullptr) {
     return MakeChoice(*options.trial, choice_basis::kTrial, limits, now);
   }
-  if (tracked_instance* best = LeastLoaded(options.in_time, request, now)) {
+  if (tracked_instance* best =
+          LeastLoaded(options.in_time, request, stats, now)) {
     return MakeChoice(*best, choice_basis::kRegular, limits, now);
   }
   if (!options.reserved.empty() &&
       ++stats.reserve_denials > kMaxReserveDenials) {
     stats.reserve_denials = 0;
-    tracked_instance* best = LeastLoaded(options.reserved, request, now);
+    tracked_instance* best = LeastLoaded(options.reserved, request, stats, now);
     return MakeChoice(*best, choice_basis::kRegular, limits, now);
   }
-  if (tracked_instance* best = LeastLoaded(options.shedding, request, now)) {
+  if (tracked_instance* best =
+          LeastLoaded(options.shedding, request, stats, now)) {
     return MakeChoice(*best, choice_basis::kLastResort, limits, now);
   }
-  if (tracked_instance* best = LeastLoaded(options.late, request, now)) {
+  if (tracked_instance* best = LeastLoaded(options.late, request, stats, now)) {
     return MakeChoice(*best, choice_basis::kRegular, limits, now);
   }
   if (tracked_instance* best =
-          LeastLoaded(options.other_suspects, request, now)) {
+          LeastLoaded(options.other_suspects, request, stats, now)) {
     return MakeChoice(*best, choice_basis::kLastResort, limits, now);
   }
-  tracked_instance* gray = LeastLoaded(options.gray, request, now);
+  tracked_instance* gray = LeastLoaded(options.gray, request, stats, now);
   if (gray != nullptr && request.is_retryable) {
     return MakeChoice(*gray, choice_basis::kLastResort, limits, now);
   }
--- a/balance/reader_choice.h
+++ b/balance/reader_choice.h
@@ -13,7 +13,7 @@
   uint64_t rank = 0;         ///< Fixed for each node; the lowest ranks read.
   bool same_zone = false;    ///< In the zone of this node.
   bool reads_store = false;  ///< Its last read succeeded.
-  bool has_records = false;  ///< It knows a configuration.
+  bool has_records = false;  ///< It knows a configuration and instances.
   millis heard_at;           ///< Time of its last report.
 };
 
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -88,6 +88,7 @@
     const udp::endpoint& remote) {
   peer_state& state = peers_[remote];
   if (state.relay_key == 0) {
+    state.name = remote.address().to_string();
     state.relay_key = RelayKeyOf(remote);
     remotes_by_key_.emplace(state.relay_key, remote);
   }
@@ -380,8 +381,9 @@
     state.zone = report.zone;
     state.leaving = report.leaving;
     state.reads_store = report.reads_store;
-    state.has_records = report.config_version > 0;
-    const std::string name = reporter->address().to_string();
+    state.has_records =
+        report.config_version > 0 && report.instances_offset > 0;
+    const std::string& name = state.name;
     node_->selector.Apply(name, report, now);
     if (!report.usage.empty()) {
       node_->retries.Apply(name, report.usage, now);
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -48,12 +48,13 @@
     kWithUsage,  ///< The use of the retry budget, too.
   };
   struct peer_state {
+    std::string name;  ///< The address as text.
     millis heard_at = millis(-1'000'000);
     uint16_t zone = 0;
     uint32_t relay_key = 0;  ///< Names the reporter in relayed reports.
     bool leaving = false;
     bool reads_store = false;
-    bool has_records = false;  ///< It knows a configuration.
+    bool has_records = false;  ///< It knows a configuration and instances.
   };
   /// A live node of the own zone.
   struct ring_peer {
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -34,10 +34,11 @@
 // costs money. It reads the store if it cannot list its peers for the first
 // time, or if none of them has the records in the second.
 constexpr millis kMaxListTime(300);
-constexpr millis kMaxPeerWait(1'200);
+constexpr millis kMaxPeerWait(250);
 constexpr millis kGreetingTime(40);  // until the peers have answered a report
 // The store writes the records of all nodes one after the other.
 constexpr millis kMaxFirstListTime(4'000);
+constexpr millis kMaxFirstPeerWait(1'200);
 constexpr millis kRetryDelay(900);  // even a refused call costs money
 
 endpoint StoreEndpoint(const front_node& node) {
@@ -163,13 +164,17 @@
   }
   const millis since_listed = now - *nodes_listed_at_;
   return since_listed < kGreetingTime ||
-         (since_listed < kMaxPeerWait && !node_->must_read_store_first());
+         (since_listed < MaxPeerWait() && !node_->must_read_store_first());
 }
 
 millis store_watch::MaxListTime() const {
   return node_->settings.is_first_start ? kMaxFirstListTime : kMaxListTime;
 }
 
+millis store_watch::MaxPeerWait() const {
+  return node_->settings.is_first_start ? kMaxFirstPeerWait : kMaxPeerWait;
+}
+
 millis store_watch::DelegationPollInterval() const {
   return node_->HasRecords() ? kDelegationPollInterval : kStartupPollInterval;
 }
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -36,6 +36,8 @@
   awaitable<void> Announce();
   awaitable<bool> ListNodes(const node_record& self);
   awaitable<void> ReadFromPeerAhead();
+  /// Waits before a read at a peer, so that not all nodes read at the same one.
+  awaitable<void> WaitForTurn();
   awaitable<void> ReadFromPeer(std::string_view topic, const endpoint& remote);
   [[nodiscard]] millis InstancesReadWait() const;
   [[nodiscard]] endpoint NextMirror();
@@ -49,6 +51,8 @@
   [[nodiscard]] bool WaitsForPeers() const;
   /// Returns how long this node waits to be listed and to list the others.
   [[nodiscard]] millis MaxListTime() const;
+  /// Returns how long it waits, once listed, for a peer's records.
+  [[nodiscard]] millis MaxPeerWait() const;
   [[nodiscard]] millis DelegationPollInterval() const;
   /// Returns whether the instances have changed.
   bool PublishInstances();
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -85,21 +85,26 @@
   }
 }
 
-// Traffic between zones costs money, so a node waits for the readers of its own
-// zone before it reads from another.
-awaitable<void> store_watch::ReadFromPeerAhead() {
-  const asio::any_io_executor executor = node_->context.get_executor();
-  const auto spread = static_cast<uint64_t>(
-      (kCatchUpSpreadPerNode * node_->live_nodes_in_zone).count());
-  const millis turn(static_cast<int64_t>(node_->random.Below(spread + 1)));
+awaitable<void> store_watch::WaitForTurn() {
   if (peer_ahead_.is_other_zone) {
-    boost::system::error_code
-        cancelled;  // A peer of this zone has the records.
+    boost::system::error_code cancelled;  // a peer of this zone has them
     own_zone_wait_.expires_after(ToChrono(kOtherZoneDelay));
     co_await own_zone_wait_.async_wait(
         asio::redirect_error(asio::use_awaitable, cancelled));
   }
-  co_await Sleep(executor, turn);
+  const auto spread = static_cast<uint64_t>(
+      (kCatchUpSpreadPerNode * node_->live_nodes_in_zone).count());
+  co_await Sleep(node_->context.get_executor(),
+                 millis(static_cast<int64_t>(node_->random.Below(spread + 1))));
+}
+
+// Traffic between zones costs money, so a node waits for the readers of its own
+// zone before it reads from another. A restarted node has callers that wait.
+awaitable<void> store_watch::ReadFromPeerAhead() {
+  const asio::any_io_executor executor = node_->context.get_executor();
+  if (node_->HasRecords() || node_->settings.is_first_start) {
+    co_await WaitForTurn();
+  }
   const peer_ahead peer = peer_ahead_;
   const endpoint remote{peer.address, node_->settings.control.port};
   const bool config_changed = peer.config_version > node_->ConfigVersion();
--- a/tests/balance/trial_requests_test.cc
+++ b/tests/balance/trial_requests_test.cc
@@ -43,5 +43,29 @@
   }
 }
 
+// An instance without requests may have turned gray since its last answer.
+TEST_CASE("mixed load: unused instances are left to retryable requests") {
+  constexpr int kInstances = 6;
+  instance_selector selector("a", 1);
+  selector.SetInstances(MakeEntries(kInstances, "ledger"), kStart);
+  SendRequests(selector, 5);
+  const millis now = kStart + millis(2'000);
+  // One instance was used lately, all others were not.
+  const instance_key used = KeyOf("ledger-0");
+  selector.Begin(used);
+  selector.End(used, attempt_outcome::kOk, millis(5), now);
+  selector.NoteIdleConnections(used, 1, now);
+  choice_request request = MakeRequest("ledger");
+  request.max_idle_time = millis(3'000);
+  int at_used = 0;
+  constexpr int kDraws = 20;
+  for (int i = 0; i < kDraws; ++i) {
+    at_used += selector.Choose(request, now).key == used ? 1 : 0;
+  }
+  CHECK(at_used == kDraws);
+  request.is_retryable = true;
+  CHECK(selector.Choose(request, now).basis == choice_basis::kRegular);
+}
+
 }  // namespace
 }  // namespace peridotarch
--- a/tests/front/peer_test.cc
+++ b/tests/front/peer_test.cc
@@ -44,12 +44,14 @@
     return SendDatagram(to, Encode(report, ""));
   }
   // Reports that this node knows of a change to the instances.
-  void SendChange(const udp::endpoint& to, uint32_t instances_offset) {
+  void SendChange(const udp::endpoint& to, uint32_t instances_offset,
+                  uint32_t config_version = 0) {
     load_report report;
     report.incarnation = 1;
     report.number = ++report_number_;
     report.zone = ZoneKeyOf(zone_);
     report.instances_offset = instances_offset;
+    report.config_version = config_version;
     SendDatagram(to, Encode(report, ""));
   }
   std::string SendDatagram(const udp::endpoint& to,
@@ -176,6 +178,21 @@
   CHECK(boot_clock::Now() - started_at < millis(800));  // heartbeat: 1 s
 }
 
+// Nodes that waited for the instances of a peer which knew none refused their
+// callers for up to a second.
+TEST_CASE("restart of all nodes: a configuration alone is not all records") {
+  reporting_node reporting;
+  reporting.reporter->Start([](const peer_ahead&) {});
+  fake_peer peer(reporting.world.context, "127.0.0.12", "a");
+  peer.SendChange(reporting.address, 0, 1);
+  reporting.world.context.run_for(std::chrono::milliseconds(30));
+  CHECK(reporting.node->must_read_store_first());
+  peer.SendChange(reporting.address, 5, 1);
+  reporting.world.RunUntil(
+      [&] { return !reporting.node->must_read_store_first(); });
+  CHECK_FALSE(reporting.node->must_read_store_first());
+}
+
 // Instances renew their entries all the time. Every node read each renewal from
 // another node, and announced it to all others.
 TEST_CASE("many nodes: a peer is read only if the records have changed") {
