--- a/balance/instance_selector_choice.cc
+++ b/balance/instance_selector_choice.cc
@@ -28,8 +28,9 @@
 // seconds. Each further trial that cannot be retried costs its caller the
 // answer.
 constexpr millis kDelayAfterFailedTrial(2'200);
-// Where requests come that can be retried, those that cannot leave the trials
-// to them: half of the trials in the first seconds after a failure fail.
+// If at least this share of a service's requests can be retried, the others
+// leave the trials to them: about half of the trials in the first seconds after
+// a failure fail.
 constexpr double kRetryableShareForTrials = 0.05;
 constexpr double kRetryableSampleWeight = 1.0 / 20;
 constexpr millis kDelayForRetryable(1'500);
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -31,12 +31,13 @@
 constexpr millis kDelegationPollInterval(250);
 constexpr millis kStartupPollInterval(15);
 // A node that starts gets the records from a peer, since each call to the store
-// costs money. It reads the store if it cannot list its peers for the first
-// time, or if none of them has the records in the second.
+// costs money. It reads the store if it has not listed its peers after
+// kMaxListTime, or if none of them has given it the records kMaxPeerWait later.
 constexpr millis kMaxListTime(300);
 constexpr millis kMaxPeerWait(250);
 constexpr millis kGreetingTime(40);  // until the peers have answered a report
-// The store writes the records of all nodes one after the other.
+// At the first start of the fleet the store writes the records of all nodes one
+// after the other, and there are no callers yet.
 constexpr millis kMaxFirstListTime(4'000);
 constexpr millis kMaxFirstPeerWait(1'200);
 constexpr millis kRetryDelay(900);  // even a refused call costs money
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr millis kPeerCallTimeout(700);
-// checks if others still read
 constexpr millis kCatchUpPause(30);  // between reads from peers
 constexpr millis kOtherZoneDelay(300);
 // Nodes of a zone read a change one after the other, most of them at nodes that
