--- a/config/log_follower.cc
+++ b/config/log_follower.cc
@@ -33,6 +33,11 @@
     has_scan_ = false;
   }
   is_verifying_ = false;
+  // The search for a snapshot ended with the offsets of an older page. Records
+  // below its start mean that the log has been reset since.
+  if (has_lost_base_ && page.first < scan_start_) {
+    has_scan_ = false;
+  }
   if (!has_scan_) {
     RestartScan();
   } else if (page.first > cursor_) {
--- a/tests/config/replica_test.cc
+++ b/tests/config/replica_test.cc
@@ -251,6 +251,37 @@
   CHECK(f.InForce(0).snapshot->text == TestRules(kLines, 4, "kept"));
 }
 
+// A node that was cut off from the log gave up the search for a snapshot with
+// the offsets from before a reset, and left out the first records of the new
+// log.
+TEST_CASE(
+    "a reset while a node finds no snapshot: it reads the new log whole") {
+  const auto publish = [](fleet& f, const std::string& tag, uint64_t base) {
+    f.Publish(TestRules(kLines, 3, tag), base);
+    REQUIRE(f.Converge(kLimit));
+  };
+  fleet before(1, 13);
+  PublishFirst(before);
+  publish(before, "old", 1);
+  before.log.Trim(1);
+  fleet after(1, 14);
+  publish(after, "new", 0);
+  publish(after, "newer", 1);
+  REQUIRE(after.log.next() > before.log.next() - 1);
+
+  log_follower reader(kTestKey);
+  for (int i = 0; i < 3 && !reader.found_no_snapshot(); ++i) {
+    reader.OnPage(before.log.Read(reader.next_offset()), before.now);
+  }
+  REQUIRE(reader.found_no_snapshot());
+  reader.StartAtOldest();
+  for (int i = 0; i < 3; ++i) {
+    reader.OnPage(after.log.Read(reader.next_offset()), before.now);
+  }
+  CHECK(reader.caught_up());
+  CHECK(reader.head().id == after.LogHead().id);
+}
+
 TEST_CASE(
     "snapshots are renewed as the log drops records; a node starts from them") {
   fleet f(3, 10);
