What a node receives of others' failures and loads is bounded

Under overload most attempts are shed or fail, and each one was reported to all 291 nodes, also while the instance was suspect already.

Ruled out: the choice of an instance as a scan (IsSelectable under 0.1% in the profile), the log lines (JSON about 1%).

Change: an outcome is told to all nodes only if it says something new of an instance's health (load_change). What is shed is told in the own zone. The reports to the whole zone are paced by its size (report_pace); users of the instance still hear at once. Four nodes of a zone relay at a time, and pass on together what arrives within 100 ms (relay_choice, report_batch). Outcomes carry their age, so that a late one neither prolongs a hold nor counts against a newer good answer; the work time in their place was not read by anybody. A retry is told to the zone, since the budget counts on it. Attempts at instances with several free slots are reported together within 150 ms. All datagrams that have arrived are read in a row; peers are kept in a hash table. The line of an attempt names the instance's zone.

--- a/balance/instance_health.cc
+++ b/balance/instance_health.cc
@@ -23,9 +23,10 @@
 // One failure makes an instance suspect: healthy instances fail about one
 // request in a hundred and gray ones fail most of them, so an instance that
 // fails is far more likely to be gray than healthy.
-bool instance_health::RecordOutcome(attempt_outcome outcome, millis now) {
+bool instance_health::RecordOutcome(attempt_outcome outcome, millis ended_at) {
   switch (outcome) {
     case attempt_outcome::kOk:
+      good_at_ = std::max(good_at_.value_or(ended_at), ended_at);
       if (successes_to_clear_ == 0) {
         return false;
       }
@@ -34,12 +35,12 @@
     case attempt_outcome::kFailed:
     case attempt_outcome::kBroken:
     case attempt_outcome::kUnreachable:
-      return MarkSuspect(outcome, FailureHold(now), kSuccessesAfterFailure,
-                         now);
+      return MarkSuspect(outcome, FailureHold(ended_at), kSuccessesAfterFailure,
+                         ended_at);
     case attempt_outcome::kSlow:
-      return MarkSuspect(outcome, kSlowHold, kSuccessesAfterSlow, now);
+      return MarkSuspect(outcome, kSlowHold, kSuccessesAfterSlow, ended_at);
     case attempt_outcome::kShed:
-      return MarkSuspect(outcome, kShedHold, kSuccessesAfterSlow, now);
+      return MarkSuspect(outcome, kShedHold, kSuccessesAfterSlow, ended_at);
     case attempt_outcome::kMoved:
     case attempt_outcome::kUnknown:
       return false;
@@ -49,17 +50,21 @@
 
 // A failure during the hold is of a request that was already in flight, so it
 // does not count as a failed trial.
-millis instance_health::FailureHold(millis now) {
-  const bool is_trial = suspect() && now >= hold_until_;
+millis instance_health::FailureHold(millis ended_at) {
+  const bool is_trial = suspect() && ended_at >= hold_until_;
   has_failed_trial_ = has_failed_trial_ || is_trial;
   return is_trial ? kFailedTrialHold : kFailureHold;
 }
 
+// Peers may report a failure late, after a good answer that was newer.
 bool instance_health::MarkSuspect(attempt_outcome outcome, millis hold,
-                                  int successes_to_clear, millis now) {
+                                  int successes_to_clear, millis ended_at) {
+  if (good_at_ && ended_at < *good_at_) {
+    return false;
+  }
   const bool is_new = successes_to_clear_ == 0;
   successes_to_clear_ = std::max(successes_to_clear_, successes_to_clear);
-  hold_until_ = std::max(hold_until_, now + hold);
+  hold_until_ = std::max(hold_until_, ended_at + hold);
   cause_ = outcome;
   return is_new;
 }
--- a/balance/instance_health.h
+++ b/balance/instance_health.h
@@ -1,6 +1,8 @@
 #ifndef BALANCE_INSTANCE_HEALTH_H_
 #define BALANCE_INSTANCE_HEALTH_H_
 
+#include <optional>
+
 #include "balance/instance.h"
 #include "core/millis.h"
 
@@ -11,9 +13,10 @@
 /// health checks are not used.
 class instance_health {
  public:
-  /// Records the outcome of an attempt by this node or by a peer. Returns
-  /// whether the instance thereby became suspect or was cleared.
-  bool RecordOutcome(attempt_outcome outcome, millis now);
+  /// Records the outcome of an attempt that ended at `ended_at`, by this node
+  /// or by a peer. Returns whether the instance thereby became suspect or was
+  /// cleared.
+  bool RecordOutcome(attempt_outcome outcome, millis ended_at);
 
   /// Returns whether regular requests should go to other instances.
   [[nodiscard]] bool suspect() const { return successes_to_clear_ > 0; }
@@ -24,6 +27,11 @@
     return now - hold_until_;
   }
 
+  /// Returns whether it is suspect and not yet due for a trial.
+  [[nodiscard]] bool is_held(millis now) const {
+    return suspect() && now < hold_until_;
+  }
+
   /// Returns whether a trial has failed since the instance became suspect.
   [[nodiscard]] bool has_failed_trial() const { return has_failed_trial_; }
 
@@ -31,13 +39,14 @@
   [[nodiscard]] attempt_outcome cause() const { return cause_; }
 
  private:
-  [[nodiscard]] millis FailureHold(millis now);
+  [[nodiscard]] millis FailureHold(millis ended_at);
   bool MarkSuspect(attempt_outcome outcome, millis hold, int successes_to_clear,
-                   millis now);
+                   millis ended_at);
 
   int successes_to_clear_ = 0;  ///< Successes still needed to clear it.
   bool has_failed_trial_ = false;
-  millis hold_until_;  ///< No trial before this time.
+  millis hold_until_;              ///< No trial before this time.
+  std::optional<millis> good_at_;  ///< End of the last good attempt known.
   attempt_outcome cause_ = attempt_outcome::kOk;
 };
 
--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -91,6 +91,12 @@
   return found->second.home;
 }
 
+bool instance_selector::HasSpareSlots(instance_key key) const {
+  const auto found = instances_.find(key);
+  return found != instances_.end() &&
+         found->second.InFlight() + 1 < found->second.entry.slots;
+}
+
 void instance_selector::CountSuspects() {
   suspect_count_ = static_cast<size_t>(
       std::count_if(instances_.begin(), instances_.end(), [](const auto& item) {
@@ -120,11 +126,11 @@
   }
 }
 
-void instance_selector::End(instance_key key, attempt_outcome outcome,
-                            millis work, millis now, uint32_t route) {
+load_change instance_selector::End(instance_key key, attempt_outcome outcome,
+                                   millis work, millis now, uint32_t route) {
   const auto found = instances_.find(key);
   if (found == instances_.end()) {
-    return;
+    return load_change::kSlotFreed;
   }
   tracked_instance& instance = found->second;
   if (--instance.own_in_flight == 0) {
@@ -139,33 +145,41 @@
   } else if (outcome == attempt_outcome::kOk) {
     instance.unreachable_count = 0;
   }
+  const load_change change = ChangeAfter(outcome, instance.health.suspect(),
+                                         instance.health.is_held(now));
   // A good answer of an instance that is not suspect is not worth reporting.
   if (outcome != attempt_outcome::kOk || instance.health.suspect()) {
-    AddRecentOutcome(key, outcome, work, now);
+    AddRecentOutcome(key, outcome, now);
   }
   if (outcome == attempt_outcome::kOk && now >= instance.cold_until) {
     stats_[instance.entry.service].work.NoteWork(route, work);
   }
   ApplyOutcome(instance, outcome, "", now);
+  return change;
 }
 
-void instance_selector::NoteEarlyOutcome(instance_key key,
-                                         attempt_outcome outcome, millis now) {
+load_change instance_selector::NoteEarlyOutcome(instance_key key,
+                                                attempt_outcome outcome,
+                                                millis now) {
   const auto found = instances_.find(key);
-  if (found != instances_.end()) {
-    AddRecentOutcome(key, outcome, millis(0), now);
-    ApplyOutcome(found->second, outcome, "", now);
+  if (found == instances_.end()) {
+    return load_change::kSlotFreed;
   }
+  const instance_health& health = found->second.health;
+  const load_change change =
+      ChangeAfter(outcome, health.suspect(), health.is_held(now));
+  AddRecentOutcome(key, outcome, now);
+  ApplyOutcome(found->second, outcome, "", now);
+  return change;
 }
 
 void instance_selector::AddRecentOutcome(instance_key key,
-                                         attempt_outcome outcome, millis work,
-                                         millis now) {
+                                         attempt_outcome outcome, millis now) {
   if (outcome == attempt_outcome::kUnknown) {
     return;
   }
   recent_outcomes_.push_back(
-      {{++last_outcome_number_, key, outcome, work}, now});
+      {{++last_outcome_number_, key, outcome, millis(0)}, now});
   while (recent_outcomes_.size() > kMaxRecentOutcomes) {
     recent_outcomes_.pop_front();
   }
@@ -173,11 +187,12 @@
 
 void instance_selector::ApplyOutcome(tracked_instance& instance,
                                      attempt_outcome outcome,
-                                     const std::string& told_by, millis now) {
+                                     const std::string& told_by,
+                                     millis ended_at) {
   if (outcome == attempt_outcome::kMoved) {
-    instance.unreachable_until = now + kMovedHold;
+    instance.unreachable_until = ended_at + kMovedHold;
   }
-  if (instance.health.RecordOutcome(outcome, now)) {
+  if (instance.health.RecordOutcome(outcome, ended_at)) {
     changes_.push_back({instance.entry.id, instance.health.suspect(),
                         instance.health.cause(), told_by});
     if (instance.is_listed) {
@@ -196,6 +211,21 @@
   }
 }
 
+void instance_selector::ApplyLoad(const std::vector<load_entry>& load,
+                                  peer_state& peer, millis now) {
+  SubtractLoad(peer);
+  peer.load = load;
+  for (load_entry& entry : peer.load) {
+    const auto found = instances_.find(entry.instance);
+    if (found == instances_.end()) {
+      entry.in_flight = 0;
+      continue;
+    }
+    found->second.peers_in_flight += entry.in_flight;
+    found->second.used_at = now;
+  }
+}
+
 void instance_selector::Apply(const std::string& peer,
                               const load_report& report, millis now) {
   peer_state& state = peers_[peer];
@@ -209,30 +239,21 @@
       (is_same_start && report.number <= state.report_number)) {
     return;
   }
-  SubtractLoad(state);
   state.heard_at = now;
   state.report_number = report.number;
-  state.load = report.load;
+  ApplyLoad(report.load, state, now);
   if (!is_same_start) {
     state.incarnation = report.incarnation;
     state.outcome_number = 0;
   }
-  for (load_entry& entry : state.load) {
-    const auto found = instances_.find(entry.instance);
-    if (found == instances_.end()) {
-      entry.in_flight = 0;
+  for (const outcome_entry& entry : report.outcomes) {
+    if (entry.number <= state.outcome_number) {
       continue;
     }
-    found->second.peers_in_flight += entry.in_flight;
-    found->second.used_at = now;
-  }
-  for (const outcome_entry& entry : report.outcomes) {
+    state.outcome_number = entry.number;
     const auto found = instances_.find(entry.instance);
-    if (entry.number > state.outcome_number) {
-      state.outcome_number = entry.number;
-      if (found != instances_.end()) {
-        ApplyOutcome(found->second, entry.outcome, peer, now);
-      }
+    if (found != instances_.end()) {
+      ApplyOutcome(found->second, entry.outcome, peer, now - entry.age);
     }
   }
 }
@@ -258,6 +279,7 @@
   for (const recent_outcome& recent : recent_outcomes_) {
     if (now - recent.recorded_at < kOutcomeRepeatTime) {
       report.outcomes.push_back(recent.entry);
+      report.outcomes.back().age = now - recent.recorded_at;
     }
   }
   return report;
--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -14,6 +14,7 @@
 
 #include "balance/instance.h"
 #include "balance/instance_health.h"
+#include "balance/load_change.h"
 #include "balance/load_report.h"
 #include "balance/node_ring.h"
 #include "balance/work_times.h"
@@ -94,14 +95,17 @@
   /// Counts an attempt that begins at the instance.
   void Begin(instance_key key);
   /// Records the end of an attempt. `work` is the time that the instance spent
-  /// on it alone, `route` the key of the route's name.
-  void End(instance_key key, attempt_outcome outcome, millis work, millis now,
-           uint32_t route = 0);
+  /// on it alone, `route` the key of the route's name. Returns what the peers
+  /// should know of it.
+  load_change End(instance_key key, attempt_outcome outcome, millis work,
+                  millis now, uint32_t route = 0);
   /// Records how many idle connections to the instance this node has kept; the
   /// last one became idle now.
   void NoteIdleConnections(instance_key key, int count, millis now);
-  /// Records an outcome of an attempt that is still in flight.
-  void NoteEarlyOutcome(instance_key key, attempt_outcome outcome, millis now);
+  /// Records an outcome of an attempt that is still in flight. Returns what the
+  /// peers should know of it.
+  load_change NoteEarlyOutcome(instance_key key, attempt_outcome outcome,
+                               millis now);
 
   /// Applies a peer's report. Outdated reports are ignored.
   void Apply(const std::string& peer, const load_report& report, millis now);
@@ -122,6 +126,8 @@
   /// Returns the nodes of this zone that use the instance, or nullopt if it is
   /// not listed or is in another zone.
   [[nodiscard]] std::optional<home_range> HomeOf(instance_key key) const;
+  /// Returns whether the instance has more than one free slot.
+  [[nodiscard]] bool HasSpareSlots(instance_key key) const;
   /// Returns this node's requests in flight at all instances.
   [[nodiscard]] int in_flight() const { return in_flight_; }
 
@@ -231,12 +237,14 @@
                                 const choice_request& request,
                                 const service_stats& stats, millis now);
   void ApplyOutcome(tracked_instance& instance, attempt_outcome outcome,
-                    const std::string& told_by, millis now);
+                    const std::string& told_by, millis ended_at);
   void CountSuspects();
   void AssignHomes();
-  void AddRecentOutcome(instance_key key, attempt_outcome outcome, millis work,
-                        millis now);
+  void AddRecentOutcome(instance_key key, attempt_outcome outcome, millis now);
   void SubtractLoad(const peer_state& peer);
+  /// Replaces the load that the peer has reported.
+  void ApplyLoad(const std::vector<load_entry>& load, peer_state& peer,
+                 millis now);
 
   const std::string zone_;
   double ring_position_ = 0;
--- /dev/null
+++ b/balance/load_change.h
@@ -0,0 +1,27 @@
+#ifndef BALANCE_LOAD_CHANGE_H_
+#define BALANCE_LOAD_CHANGE_H_
+
+#include "balance/instance.h"
+
+namespace peridotarch {
+
+/// A change at this node that its peers should know of.
+enum class load_change {
+  kSlotTaken,       ///< An attempt began and takes a slot.
+  kSlotFreed,       ///< An attempt ended and shows nothing new.
+  kInstanceSheds,   ///< The instance sheds load.
+  kHealthEvidence,  ///< The instance may have turned gray or recovered.
+  kRecordsChanged,  ///< The store's records have changed.
+  kRetryTaken,      ///< A retry was taken from the fleet's budget.
+  kCaughtUp,        ///< This node has read changed records at a peer.
+};
+
+/// Returns what the end of an attempt means to the peers. `was_suspect` and
+/// `was_held` are the instance's state before: held means that no trial was
+/// due.
+load_change ChangeAfter(attempt_outcome outcome, bool was_suspect,
+                        bool was_held);
+
+}  // namespace peridotarch
+
+#endif  // BALANCE_LOAD_CHANGE_H_
--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr size_t kChecksumBytes = 4;
-constexpr int64_t kMaxWorkMs = 60'000;
+constexpr int64_t kMaxAgeMs = 60'000;
 constexpr int kByteBits = 8;
 constexpr uint8_t kLeavingFlag = 1;
 constexpr uint8_t kReadsStoreFlag = 2;
@@ -102,7 +102,7 @@
     Put(body, entry.instance);
     Put(body, static_cast<uint8_t>(entry.outcome));
     Put(body, static_cast<uint16_t>(
-                  std::clamp<int64_t>(entry.work.count(), 0, kMaxWorkMs)));
+                  std::clamp<int64_t>(entry.age.count(), 0, kMaxAgeMs)));
   }
   Put(body, ChecksumOf(body, fleet_key));
   return body;
@@ -153,7 +153,7 @@
       throw codec_error("load report has an unknown outcome");
     }
     entry.outcome = static_cast<attempt_outcome>(outcome);
-    entry.work = millis(fields.Take<uint16_t>());
+    entry.age = millis(fields.Take<uint16_t>());
     report.outcomes.push_back(entry);
   }
   return report;
--- a/balance/load_report.h
+++ b/balance/load_report.h
@@ -36,8 +36,7 @@
   uint32_t number = 0;  ///< Increases by one with each outcome of the node.
   instance_key instance = 0;
   attempt_outcome outcome = attempt_outcome::kOk;
-  /// Time that the instance spent on this request alone, at most a minute.
-  millis work;
+  millis age;  ///< Time from the outcome to the report, at most a minute.
 
   bool operator==(const outcome_entry&) const = default;
 };
--- a/balance/relay_choice.h
+++ b/balance/relay_choice.h
@@ -6,15 +6,23 @@
 #include <span>
 #include <vector>
 
+#include "core/millis.h"
 #include "core/random.h"
 
 namespace peridotarch {
 
+/// A node that may relay reports within its availability zone.
+struct relay_candidate {
+  uint16_t zone = 0;  ///< Key of its zone.
+  uint32_t key = 0;   ///< Key of the node.
+};
+
 /// Chooses the nodes that relay a report within the other availability zones.
-/// `zones` holds the zone key of each node. Returns the index of one random
-/// node for each zone other than `own_zone`.
-std::vector<size_t> ChooseRelays(std::span<const uint16_t> zones,
-                                 uint16_t own_zone, random_bits& random);
+/// Returns the index of one candidate for each zone other than `own_zone`. At
+/// any time `now` only a few nodes of a zone are chosen, by all senders.
+std::vector<size_t> ChooseRelays(std::span<const relay_candidate> candidates,
+                                 uint16_t own_zone, millis now,
+                                 random_bits& random);
 
 }  // namespace peridotarch
 
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -47,6 +47,8 @@
   std::optional<reason> Prepare();
   awaitable<void> RunAttempt(attempt_record& attempt);
   void CountAttempt(const attempt_record& attempt);
+  /// Takes a retry from the fleet's budget, unless it is used up.
+  bool TakeRetry(millis now);
   [[nodiscard]] retry_choice DecideRetry(const attempt_record& attempt);
   http_response Deliver(attempt_record& attempt);
   http_response Refuse(reason why, millis retry_after);
@@ -172,17 +174,14 @@
   }
   const attempt_outcome outcome = HealthOutcome(attempt);
   const millis now = boot_clock::Now();
-  node_.selector.End(key, outcome, InstanceWorkTime(attempt), now,
-                     KeyOf(route_->name));
+  const load_change change = node_.selector.End(
+      key, outcome, InstanceWorkTime(attempt), now, KeyOf(route_->name));
   if (attempt.result.idle_connections > 0) {
     node_.selector.NoteIdleConnections(key, attempt.result.idle_connections,
                                        now);
   }
   node_.LogHealthChanges();
-  const bool succeeded =
-      outcome == attempt_outcome::kOk || outcome == attempt_outcome::kUnknown;
-  node_.on_load_change(
-      succeeded ? load_change::kSlotFreed : load_change::kUrgent, key);
+  node_.on_load_change(change, key);
 }
 
 // The instance of a slow attempt may never answer, so an idempotent request
@@ -190,15 +189,16 @@
 void request_handler::OnSlowAttempt(instance_key key,
                                     exchange_control& control) {
   const millis now = boot_clock::Now();
-  node_.selector.NoteEarlyOutcome(key, attempt_outcome::kSlow, now);
+  const load_change change =
+      node_.selector.NoteEarlyOutcome(key, attempt_outcome::kSlow, now);
   node_.LogHealthChanges();
-  node_.on_load_change(load_change::kUrgent, key);
+  node_.on_load_change(change, key);
   const bool can_retry =
       route_->idempotent && instances_sent_to_ + 1 < route_->max_attempts &&
       work_deadline_ - now > kMinAttemptTime &&
       node_.selector.Choose(MakeChoiceRequestWithout(key, now), now).basis ==
           choice_basis::kRegular;
-  if (can_retry && node_.retries.TakeRetry(service_, route_->priority, now)) {
+  if (can_retry && TakeRetry(now)) {
     retry_taken_early_ = true;
     control.Cancel();
   }
@@ -213,6 +213,15 @@
   }
 }
 
+bool request_handler::TakeRetry(millis now) {
+  const bool is_taken =
+      node_.retries.TakeRetry(service_, route_->priority, now);
+  if (is_taken) {
+    node_.on_load_change(load_change::kRetryTaken, 0);
+  }
+  return is_taken;
+}
+
 retry_choice request_handler::DecideRetry(const attempt_record& attempt) {
   const bool answered =
       attempt.classification.is_deliverable &&
@@ -240,7 +249,7 @@
   const bool is_allowed =
       std::exchange(retry_taken_early_, false) ||
       attempt.result.summary.written == write_progress::kNothing ||
-      node_.retries.TakeRetry(service_, route_->priority, now);
+      TakeRetry(now);
   return is_allowed ? retry_choice::kRetry : retry_choice::kBudgetUsed;
 }
 
@@ -254,6 +263,7 @@
                   {"service", service_},
                   {"config", routes_->config().version},
                   {"instance", attempt.choice.instance.id},
+                  {"instance_zone", attempt.choice.instance.zone},
                   {"basis", ToName(attempt.choice.basis)},
                   {"in_flight_there", attempt.choice.in_flight},
                   {"expected_ms", attempt.choice.expected.count()},
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -24,14 +24,6 @@
 
 class caller_session;
 
-/// A change at this node that its peers should know of.
-enum class load_change {
-  kSlotTaken,  ///< An attempt began and takes a slot.
-  kSlotFreed,  ///< An attempt ended without a failure.
-  kUrgent,     ///< An instance may be unhealthy, or store records changed.
-  kCaughtUp,   ///< This node has read changed records at a peer.
-};
-
 /// State that the parts of one node share. All of them run on one thread.
 struct front_node {
   front_node(boost::asio::io_context& io, node_settings initial_settings,
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -4,7 +4,6 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +14,7 @@
 #include "balance/heartbeat_schedule.h"
 #include "balance/node_ring.h"
 #include "balance/reader_choice.h"
+#include "balance/report_pace.h"
 #include "front/front_node.h"
 #include "front/peer_ahead.h"
 #include "platform/awaitable.h"
@@ -39,7 +39,7 @@
   /// The peers that a report is sent to.
   enum class recipients {
     kZone,        ///< Live nodes of the own availability zone.
-    kOtherZones,  ///< One live node of each other zone, which relays it.
+    kOtherZones,  ///< Live nodes of the other zones.
     kHeartbeat,   ///< All nodes of the own zone, those of others in turn.
     kAll,         ///< All known nodes, including silent ones.
   };
@@ -56,6 +56,9 @@
     bool reads_store = false;
     bool has_records = false;  ///< It knows a configuration and instances.
   };
+  struct endpoint_hash {
+    size_t operator()(const boost::asio::ip::udp::endpoint& remote) const;
+  };
   /// A live node of the own zone.
   struct ring_peer {
     boost::asio::ip::udp::endpoint remote;
@@ -65,7 +68,8 @@
   /// A report that is sent after a delay.
   struct delayed_report {
     boost::asio::steady_timer timer;
-    bool is_armed = false;
+    std::optional<millis> due_at = {};  ///< Set while it waits to be sent.
+    report_pace pace = {};
   };
 
   awaitable<void> Receive();
@@ -75,6 +79,13 @@
   void SendToUsersOf(const std::vector<instance_key>& keys);
   void SendSoon(delayed_report& report, millis delay,
                 std::function<void()> send);
+  /// Sends at once if the last report was sent at least `interval` ago, else
+  /// when that time is over.
+  void SendPaced(delayed_report& report, millis interval,
+                 std::function<void()> send);
+  void TellUsers(load_change change, instance_key key);
+  void TellZone(instance_key key);
+  void RelayInZone(std::string_view datagram);
   /// `relay_for` is the key of this node if the report is to be relayed.
   std::string MakeDatagram(report_content content, millis now,
                            uint32_t relay_for = 0);
@@ -85,7 +96,8 @@
   void SendTo(const boost::asio::ip::udp::endpoint& to,
               std::string_view datagram);
   void SendToEach(recipients to, std::string_view datagram, millis now);
-  void SendToRelays(std::string_view datagram, millis now);
+  /// Sends a report to one node of each other zone, which relays it there.
+  void SendToRelays(report_content content);
   std::optional<boost::asio::ip::udp::endpoint> ResolveReporter(
       const boost::asio::ip::udp::endpoint& sender, const load_report& report,
       std::string_view datagram);
@@ -94,6 +106,8 @@
   void CompareRecords(const std::string& name, const load_report& report);
   void HandleDatagram(const boost::asio::ip::udp::endpoint& sender,
                       std::string_view datagram);
+  void HandleReport(const boost::asio::ip::udp::endpoint& sender,
+                    std::string_view datagram);
   void CountNodes(millis now);
   /// Recomputes which nodes of this zone are live and where they stand.
   void UpdateRing(millis now);
@@ -107,16 +121,20 @@
   boost::asio::ip::udp::socket socket_;
   delayed_report same_zone_report_;
   delayed_report other_zones_report_;
+  delayed_report whole_zone_report_;
+  delayed_report relayed_reports_;
+  std::vector<std::string> to_relay_;  ///< To be sent by relayed_reports_.
   const uint16_t zone_;
   const uint32_t own_relay_key_;
   node_ring ring_;
   std::vector<ring_peer> ring_peers_;
   bool ring_is_outdated_ = false;  ///< A node has been heard after silence.
   heartbeat_schedule schedule_;
-  size_t nodes_in_other_zones_ = 0;  ///< Silent ones included.
-  std::vector<instance_key> freed_;  ///< To be reported by same_zone_report_.
+  size_t nodes_in_other_zones_ = 0;    ///< Silent ones included.
+  std::vector<instance_key> changed_;  ///< To be reported by same_zone_report_.
   uint32_t report_number_ = 0;
-  std::map<boost::asio::ip::udp::endpoint, peer_state> peers_;
+  std::unordered_map<boost::asio::ip::udp::endpoint, peer_state, endpoint_hash>
+      peers_;
   std::unordered_map<uint32_t, boost::asio::ip::udp::endpoint> remotes_by_key_;
   std::function<void(const peer_ahead&)> on_ahead_;
 };
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -138,7 +138,7 @@
     page = co_await config_client_.Newest(kConfigTopic, kCallTimeout);
   }
   if (ApplyConfig(page)) {
-    node_->on_load_change(load_change::kUrgent, 0);
+    node_->on_load_change(load_change::kRecordsChanged, 0);
   }
 }
 
@@ -313,7 +313,7 @@
     }
     if (PublishInstances()) {
       node_->instances_changed_at = node_->instances_offset;
-      node_->on_load_change(load_change::kUrgent, 0);
+      node_->on_load_change(load_change::kRecordsChanged, 0);
     }
     co_await Sleep(executor, PauseAfterRead(failed.empty()));
   }
--- a/tests/front/peer_test.cc
+++ b/tests/front/peer_test.cc
@@ -240,15 +240,73 @@
   });
   const size_t near_before = near_peer.CountReceived();
   const size_t far_before = far_peer.CountReceived();
+  // The instance has one slot left.
+  node->selector.Begin(KeyOf("i-1"));
+  node->selector.Begin(KeyOf("i-1"));
   node->on_load_change(load_change::kSlotTaken, KeyOf("i-1"));
   CHECK(near_peer.CountReceived() == near_before + 1);
   CHECK(far_peer.CountReceived() == far_before);
   node->on_load_change(load_change::kSlotTaken, KeyOf("i-2"));
   CHECK(near_peer.CountReceived() == near_before + 1);
-  node->on_load_change(load_change::kUrgent, KeyOf("i-1"));
+  node->on_load_change(load_change::kInstanceSheds, KeyOf("i-1"));
   CHECK(near_peer.CountReceived() == near_before + 2);
+  CHECK(far_peer.CountReceived() == far_before);
+  node->on_load_change(load_change::kHealthEvidence, KeyOf("i-1"));
+  CHECK(near_peer.CountReceived() == near_before + 3);
   CHECK(far_peer.CountReceived() == far_before + 1);
 }
 
+// With hundreds of nodes, most datagrams told of requests at instances that had
+// room for several more.
+TEST_CASE(
+    "many nodes: requests at instances with spare slots are told together") {
+  constexpr int kRequests = 10;
+  reporting_node reporting;
+  const auto node = reporting.node;
+  std::vector<instance_entry> entries;
+  for (int i = 0; i < kRequests; ++i) {
+    instance_entry entry;
+    entry.id = "i-" + std::to_string(i);
+    entry.service = "s";
+    entry.zone = "a";
+    entry.slots = 3;
+    entries.push_back(entry);
+  }
+  node->selector.SetInstances(entries, boot_clock::Now());
+  reporting.reporter->Start([](const peer_ahead&) {});
+  fake_peer peer(reporting.world.context, "127.0.0.12", "a");
+  peer.SendReport(reporting.address, 0, 0);
+  reporting.world.RunUntil([&] { return peer.CountReceived() > 0; });
+  const size_t before = peer.CountReceived();
+  for (const instance_entry& entry : entries) {
+    node->selector.Begin(KeyOf(entry.id));
+    node->on_load_change(load_change::kSlotTaken, KeyOf(entry.id));
+  }
+  CHECK(peer.CountReceived() == before);
+  reporting.world.RunUntil([&] { return peer.CountReceived() > before; });
+  CHECK(peer.CountReceived() == before + 1);
+}
+
+// Under overload each node had a report to relay for every failed attempt of
+// the other zones.
+TEST_CASE("many nodes: reports that arrive together are relayed together") {
+  constexpr int kReports = 10;
+  reporting_node reporting;
+  reporting.reporter->Start([](const peer_ahead&) {});
+  fake_peer same_zone_peer(reporting.world.context, "127.0.0.12", "a");
+  fake_peer far_peer(reporting.world.context, "127.0.0.13", "b");
+  same_zone_peer.SendReport(reporting.address, 0, 0);
+  far_peer.SendReport(reporting.address, 0, 0);
+  reporting.world.RunUntil([&] { return same_zone_peer.CountReceived() > 0; });
+  const size_t before = same_zone_peer.CountReceived();
+  for (int i = 0; i < kReports; ++i) {
+    far_peer.SendReport(reporting.address, i, far_peer.relay_key());
+  }
+  reporting.world.RunUntil(
+      [&] { return same_zone_peer.CountReceived() >= before + 2; });
+  reporting.world.context.run_for(std::chrono::milliseconds(150));
+  CHECK(same_zone_peer.CountReceived() == before + 2);
+}
+
 }  // namespace
 }  // namespace peridotarch
