--- a/config/log_follower.cc
+++ b/config/log_follower.cc
@@ -187,8 +187,7 @@
       !IsDueToLostBase(applied.outcome) &&
       (applied.contradicts_head || IsContradictedBy(applied.position)) &&
       record.offset >= rescanned_below_;
-  if (applied.is_start_point || applied.outcome == apply_outcome::kAdopted ||
-      applied.outcome == apply_outcome::kJoined) {
+  if (applied.is_start_point) {
     has_lost_base_ = false;
   }
   result.applied.push_back(std::move(applied));
@@ -201,7 +200,8 @@
 // If the log has dropped all snapshots and the records before them, the bases
 // of the records that it still holds are unknown. That is no sign of a reset;
 // another scan would find the same, and operators who retry would cause scans
-// without end.
+// without end. A snapshot of an older revision, appended to repair a reset,
+// does not change that; a snapshot of the head does.
 bool log_follower::IsDueToLostBase(apply_outcome outcome) const {
   return has_lost_base_ && (outcome == apply_outcome::kVoidUnknownBase ||
                             outcome == apply_outcome::kVoidStaleBase);
--- a/config/log_follower.h
+++ b/config/log_follower.h
@@ -137,7 +137,8 @@
   bool caught_up_ = false;
   bool found_no_snapshot_ = false;
   bool is_verifying_ = false;
-  // Started at the oldest record, and no snapshot has been applied since.
+  // Started at the oldest record, and no snapshot of the head has been applied
+  // since.
   bool has_lost_base_ = false;
   std::optional<uint64_t> last_snapshot_;
   std::optional<millis> behind_since_;
--- a/tests/config/replica_test.cc
+++ b/tests/config/replica_test.cc
@@ -282,6 +282,39 @@
   CHECK(reader.head().id == after.LogHead().id);
 }
 
+// The log holds only snapshots of an older revision, which repair a reset, and
+// the record of an operator who retries. Each retry caused a new search for a
+// snapshot to start from.
+TEST_CASE("a log without a base: an older revision does not bring it back") {
+  fleet f(1, 15);
+  PublishFirst(f);
+  const revision older = f.InForce(0);
+  for (uint64_t base = 1; base < 3; ++base) {
+    f.Publish(TestRules(kLines, 3, std::to_string(base)), base);
+    REQUIRE(f.Converge(kLimit));
+  }
+  const log_page published = f.log.Read(f.log.next() - 1);
+  const std::string by_operator = published.records.back().data;
+  fake_log left;
+  left.Append("lost", f.now);
+  left.Trim(0);
+  left.Append(EncodeRecord(ToSnapshotRecord(older, false, {}), kTestKey),
+              f.now);
+  left.Append(by_operator, f.now);
+
+  log_follower reader(kTestKey);
+  reader.OnPage(left.Read(reader.next_offset()), f.now);
+  reader.OnPage(left.Read(reader.next_offset()), f.now);
+  REQUIRE(reader.found_no_snapshot());
+  reader.StartAtOldest();
+  for (int retry = 0; retry < 3; ++retry) {
+    reader.OnPage(left.Read(reader.next_offset()), f.now);
+    CHECK(reader.caught_up());
+    CHECK(reader.head().id == older.id);
+    left.Append(by_operator, f.now);
+  }
+}
+
 TEST_CASE(
     "snapshots are renewed as the log drops records; a node starts from them") {
   fleet f(3, 10);
