--- a/balance/instance_selector_choice.cc
+++ b/balance/instance_selector_choice.cc
@@ -15,10 +15,10 @@
 constexpr double kSlowTimeShare = 0.9;
 constexpr millis kMinSlowAfter(250);
 constexpr double kColdFactor = 2;  // a cold instance takes twice as long
-// The nodes that use an instance hear of a trial when it begins, and other nodes
-// only of its outcome. These wait for longer than most trials and their reports
-// take, or the many nodes of a large fleet would repeat trials that are under
-// way.
+// The nodes that use an instance hear of a trial when it begins, and other
+// nodes only of its outcome. These wait for longer than most trials and their
+// reports take, or the many nodes of a large fleet would repeat trials that are
+// under way.
 constexpr millis kOtherNodesTrialDelay(1'000);
 // A retryable request tries a suspect as soon as its hold ends, since it can be
 // retried elsewhere after a failure. A service without such requests uses its
