A late failure does not count as a failed trial

Cause, found in the read-through: a failure that a peer reports late, from before a newer good answer, was ignored in MarkSuspect, but FailureHold had already noted a failed trial.

Change: outdated outcomes are left out at the start of RecordOutcome instead of in one of its two steps.

Test: a new case in shed_storm_test, fails before. balance_test passes.

--- a/balance/instance_health.cc
+++ b/balance/instance_health.cc
@@ -20,10 +20,18 @@
 
 }  // namespace
 
+// Peers may report an outcome late, after a good answer that was newer.
+bool instance_health::IsOutdated(millis ended_at) const {
+  return good_at_ && ended_at < *good_at_;
+}
+
 // One failure makes an instance suspect: healthy instances fail about one
 // request in a hundred and gray ones fail most of them, so an instance that
 // fails is far more likely to be gray than healthy.
 bool instance_health::RecordOutcome(attempt_outcome outcome, millis ended_at) {
+  if (outcome != attempt_outcome::kOk && IsOutdated(ended_at)) {
+    return false;
+  }
   switch (outcome) {
     case attempt_outcome::kOk:
       good_at_ = std::max(good_at_.value_or(ended_at), ended_at);
@@ -56,12 +64,8 @@
   return is_trial ? kFailedTrialHold : kFailureHold;
 }
 
-// Peers may report a failure late, after a good answer that was newer.
 bool instance_health::MarkSuspect(attempt_outcome outcome, millis hold,
                                   int successes_to_clear, millis ended_at) {
-  if (good_at_ && ended_at < *good_at_) {
-    return false;
-  }
   const bool is_new = successes_to_clear_ == 0;
   successes_to_clear_ = std::max(successes_to_clear_, successes_to_clear);
   hold_until_ = std::max(hold_until_, ended_at + hold);
--- a/balance/instance_health.h
+++ b/balance/instance_health.h
@@ -29,7 +29,7 @@
 
   /// Returns whether it is suspect and not yet due for a trial.
   [[nodiscard]] bool is_held(millis now) const {
-    return suspect() && now < hold_until_;
+    return suspect() && TrialOverdue(now) < millis(0);
   }
 
   /// Returns whether a trial has failed since the instance became suspect.
@@ -39,6 +39,7 @@
   [[nodiscard]] attempt_outcome cause() const { return cause_; }
 
  private:
+  [[nodiscard]] bool IsOutdated(millis ended_at) const;
   [[nodiscard]] millis FailureHold(millis ended_at);
   bool MarkSuspect(attempt_outcome outcome, millis hold, int successes_to_clear,
                    millis ended_at);
--- a/tests/balance/shed_storm_test.cc
+++ b/tests/balance/shed_storm_test.cc
@@ -143,5 +143,14 @@
         choice_basis::kTrial);
 }
 
+TEST_CASE("shed storm: late evidence does not count as a failed trial") {
+  instance_health health;
+  health.RecordOutcome(attempt_outcome::kFailed, kStart);
+  health.RecordOutcome(attempt_outcome::kOk, kStart + millis(1'200));
+  health.RecordOutcome(attempt_outcome::kFailed, kStart + millis(1'100));
+  CHECK_FALSE(health.has_failed_trial());
+  CHECK(health.TrialOverdue(kStart + millis(1'300)) == millis(300));
+}
+
 }  // namespace
 }  // namespace peridotarch
