--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -145,8 +145,7 @@
   } else if (outcome == attempt_outcome::kOk) {
     instance.unreachable_count = 0;
   }
-  const load_change change = ChangeAfter(outcome, instance.health.suspect(),
-                                         instance.health.is_held(now));
+  const load_change change = ChangeAfter(outcome, instance.health, now);
   // A good answer of an instance that is not suspect is not worth reporting.
   if (outcome != attempt_outcome::kOk || instance.health.suspect()) {
     AddRecentOutcome(key, outcome, now);
@@ -165,9 +164,7 @@
   if (found == instances_.end()) {
     return load_change::kSlotFreed;
   }
-  const instance_health& health = found->second.health;
-  const load_change change =
-      ChangeAfter(outcome, health.suspect(), health.is_held(now));
+  const load_change change = ChangeAfter(outcome, found->second.health, now);
   AddRecentOutcome(key, outcome, now);
   ApplyOutcome(found->second, outcome, "", now);
   return change;
--- a/balance/instance_selector_choice.cc
+++ b/balance/instance_selector_choice.cc
@@ -119,10 +119,10 @@
 // connection, as new ones are paid for; and those that no node has used lately,
 // or nodes would stay with those that they are connected to. Such an instance
 // may have turned gray unnoticed, so where some requests can be retried, only
-// these find that out. One request is
-// little enough that no instance is filled while others are idle: some slow
-// down when they are nearly full. Ties are broken at random, since nodes that
-// see the same load would otherwise choose the same instance.
+// these find that out. One request is little enough that no instance is filled
+// while others are idle: some slow down when they are nearly full. Ties are
+// broken at random, since nodes that see the same load would otherwise choose
+// the same instance.
 instance_selector::tracked_instance* instance_selector::LeastLoaded(
     const std::vector<tracked_instance*>& instances,
     const choice_request& request, const service_stats& stats, millis now) {
--- a/balance/load_change.h
+++ b/balance/load_change.h
@@ -2,9 +2,12 @@
 #define BALANCE_LOAD_CHANGE_H_
 
 #include "balance/instance.h"
+#include "core/millis.h"
 
 namespace peridotarch {
 
+class instance_health;
+
 /// A change at this node that its peers should know of.
 enum class load_change {
   kSlotTaken,       ///< An attempt began and takes a slot.
@@ -16,11 +19,10 @@
   kCaughtUp,        ///< This node has read changed records at a peer.
 };
 
-/// Returns what the end of an attempt means to the peers. `was_suspect` and
-/// `was_held` are the instance's state before: held means that no trial was
-/// due.
-load_change ChangeAfter(attempt_outcome outcome, bool was_suspect,
-                        bool was_held);
+/// Returns what the end of an attempt at `now` means to the peers. `before` is
+/// the instance's health without it.
+load_change ChangeAfter(attempt_outcome outcome, const instance_health& before,
+                        millis now);
 
 }  // namespace peridotarch
 
--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -1,8 +1,8 @@
 #include "balance/load_report.h"
 
 #include <algorithm>
-#include <concepts>
 
+#include "balance/report_fields.h"
 #include "core/error.h"
 #include "core/hash.h"
 
@@ -12,44 +12,10 @@
 
 constexpr size_t kChecksumBytes = 4;
 constexpr int64_t kMaxAgeMs = 60'000;
-constexpr int kByteBits = 8;
 constexpr uint8_t kLeavingFlag = 1;
 constexpr uint8_t kReadsStoreFlag = 2;
 constexpr uint8_t kRelayFlag = 4;
 
-// Fixed-width big-endian numbers keep a report of a few entries below a hundred
-// bytes. Every byte crosses zones thousands of times a second.
-template <std::unsigned_integral T>
-void Put(std::string& out, T value) {
-  for (int shift = (sizeof(T) - 1) * kByteBits; shift >= 0;
-       shift -= kByteBits) {
-    out.push_back(static_cast<char>(value >> shift));
-  }
-}
-
-class field_reader {
- public:
-  explicit field_reader(std::string_view text) : rest_(text) {}
-
-  template <std::unsigned_integral T>
-  T Take() {
-    if (rest_.size() < sizeof(T)) {
-      throw codec_error("load report is cut short");
-    }
-    uint64_t value = 0;
-    for (size_t i = 0; i < sizeof(T); ++i) {
-      value = value << kByteBits | static_cast<uint8_t>(rest_[i]);
-    }
-    rest_.remove_prefix(sizeof(T));
-    return static_cast<T>(value);
-  }
-
-  [[nodiscard]] bool empty() const { return rest_.empty(); }
-
- private:
-  std::string_view rest_;
-};
-
 // A keyed checksum rejects damaged datagrams and those of other fleets. A full
 // signature on each of some hundred datagrams a second would cost more than it
 // is worth, since a report is only a hint about load.
@@ -71,40 +37,43 @@
   return static_cast<uint32_t>(Hash64(address)) | 1;
 }
 
+// Fixed-width big-endian numbers keep a report of a few entries below a hundred
+// bytes. Every byte crosses zones thousands of times a second.
 std::string Encode(const load_report& report, std::string_view fleet_key) {
   std::string body;
-  Put(body, report.incarnation);
-  Put(body, report.number);
-  Put(body, report.config_version);
-  Put(body, report.instances_offset);
-  Put(body, report.zone);
-  Put(body, static_cast<uint8_t>((report.leaving ? kLeavingFlag : 0) |
-                                 (report.reads_store ? kReadsStoreFlag : 0) |
-                                 (report.relay_for != 0 ? kRelayFlag : 0)));
+  PutField(body, report.incarnation);
+  PutField(body, report.number);
+  PutField(body, report.config_version);
+  PutField(body, report.instances_offset);
+  PutField(body, report.zone);
+  PutField(body,
+           static_cast<uint8_t>((report.leaving ? kLeavingFlag : 0) |
+                                (report.reads_store ? kReadsStoreFlag : 0) |
+                                (report.relay_for != 0 ? kRelayFlag : 0)));
   if (report.relay_for != 0) {
-    Put(body, report.relay_for);
+    PutField(body, report.relay_for);
   }
-  Put(body, static_cast<uint8_t>(report.load.size()));
+  PutField(body, static_cast<uint8_t>(report.load.size()));
   for (const load_entry& entry : report.load) {
-    Put(body, entry.instance);
-    Put(body, entry.in_flight);
+    PutField(body, entry.instance);
+    PutField(body, entry.in_flight);
   }
-  Put(body, static_cast<uint8_t>(report.usage.size()));
+  PutField(body, static_cast<uint8_t>(report.usage.size()));
   for (const retry_usage& entry : report.usage) {
-    Put(body, entry.service);
-    Put(body, entry.requests);
-    Put(body, entry.retries);
+    PutField(body, entry.service);
+    PutField(body, entry.requests);
+    PutField(body, entry.retries);
   }
   if (!report.outcomes.empty()) {
-    Put(body, report.outcomes.front().number);
+    PutField(body, report.outcomes.front().number);
   }
   for (const outcome_entry& entry : report.outcomes) {
-    Put(body, entry.instance);
-    Put(body, static_cast<uint8_t>(entry.outcome));
-    Put(body, static_cast<uint16_t>(
-                  std::clamp<int64_t>(entry.age.count(), 0, kMaxAgeMs)));
+    PutField(body, entry.instance);
+    PutField(body, static_cast<uint8_t>(entry.outcome));
+    PutField(body, static_cast<uint16_t>(
+                       std::clamp<int64_t>(entry.age.count(), 0, kMaxAgeMs)));
   }
-  Put(body, ChecksumOf(body, fleet_key));
+  PutField(body, ChecksumOf(body, fleet_key));
   return body;
 }
 
--- a/balance/relay_choice.h
+++ b/balance/relay_choice.h
@@ -18,8 +18,9 @@
 };
 
 /// Chooses the nodes that relay a report within the other availability zones.
-/// Returns the index of one candidate for each zone other than `own_zone`. At
-/// any time `now` only a few nodes of a zone are chosen, by all senders.
+/// Returns the index of one candidate for each zone other than `own_zone`. All
+/// senders draw from the same few nodes of a zone; which ones, changes with
+/// `now`.
 std::vector<size_t> ChooseRelays(std::span<const relay_candidate> candidates,
                                  uint16_t own_zone, millis now,
                                  random_bits& random);
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -180,8 +180,7 @@
     node_.selector.NoteIdleConnections(key, attempt.result.idle_connections,
                                        now);
   }
-  node_.LogHealthChanges();
-  node_.on_load_change(change, key);
+  node_.PublishChange(change, key);
 }
 
 // The instance of a slow attempt may never answer, so an idempotent request
@@ -189,10 +188,8 @@
 void request_handler::OnSlowAttempt(instance_key key,
                                     exchange_control& control) {
   const millis now = boot_clock::Now();
-  const load_change change =
-      node_.selector.NoteEarlyOutcome(key, attempt_outcome::kSlow, now);
-  node_.LogHealthChanges();
-  node_.on_load_change(change, key);
+  node_.PublishChange(
+      node_.selector.NoteEarlyOutcome(key, attempt_outcome::kSlow, now), key);
   const bool can_retry =
       route_->idempotent && instances_sent_to_ + 1 < route_->max_attempts &&
       work_deadline_ - now > kMinAttemptTime &&
@@ -214,12 +211,11 @@
 }
 
 bool request_handler::TakeRetry(millis now) {
-  const bool is_taken =
-      node_.retries.TakeRetry(service_, route_->priority, now);
-  if (is_taken) {
-    node_.on_load_change(load_change::kRetryTaken, 0);
+  if (!node_.retries.TakeRetry(service_, route_->priority, now)) {
+    return false;
   }
-  return is_taken;
+  node_.on_load_change(load_change::kRetryTaken, 0);
+  return true;
 }
 
 retry_choice request_handler::DecideRetry(const attempt_record& attempt) {
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -90,4 +90,9 @@
   }
 }
 
+void front_node::PublishChange(load_change change, instance_key key) {
+  LogHealthChanges();
+  on_load_change(change, key);
+}
+
 }  // namespace peridotarch
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -86,6 +86,8 @@
   void CloseIdleCallers(millis now);
   /// Logs the health changes that the selector has collected.
   void LogHealthChanges();
+  /// The same, and tells the peers of the change at the instance.
+  void PublishChange(load_change change, instance_key key);
 };
 
 }  // namespace peridotarch
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -217,13 +217,13 @@
     size_t size = co_await socket_.async_receive_from(
         asio::buffer(datagram), sender,
         asio::redirect_error(asio::use_awaitable, failure));
-    for (int i = 0; i < kMaxDatagramsInRow && !failure; ++i) {
+    for (int handled = 1; !failure; ++handled) {
       HandleDatagram(sender, {datagram.data(), size});
+      if (handled == kMaxDatagramsInRow) {
+        break;
+      }
       size = socket_.receive_from(asio::buffer(datagram), sender, 0, failure);
     }
-    if (!failure) {
-      HandleDatagram(sender, {datagram.data(), size});
-    }
   }
 }
 
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -80,8 +80,8 @@
   void SendSoon(delayed_report& report, millis delay,
                 std::function<void()> send);
   /// Sends at once if the last report was sent at least `interval` ago, else
-  /// when that time is over.
-  void SendPaced(delayed_report& report, millis interval,
+  /// when that time is over. Returns whether it was sent at once.
+  bool SendPaced(delayed_report& report, millis interval,
                  std::function<void()> send);
   void TellUsers(load_change change, instance_key key);
   void TellZone(instance_key key);
--- a/front/peer_reporter_send.cc
+++ b/front/peer_reporter_send.cc
@@ -37,7 +37,6 @@
 // to all: directly in the own zone, and by relays in the others, since traffic
 // between zones costs money.
 void peer_reporter::OnLoadChange(load_change change, instance_key key) {
-  const auto send_to_others = [this]() { SendToRelays(report_content::kLoad); };
   switch (change) {
     case load_change::kRecordsChanged:
       Send(recipients::kZone, report_content::kWithUsage);
@@ -61,7 +60,8 @@
   }
   const bool is_other_zone = !node_->selector.HomeOf(key);
   if (is_other_zone || nodes_in_other_zones_ <= kMaxNodesForLoads) {
-    SendSoon(other_zones_report_, kOtherZonesDelay, send_to_others);
+    SendSoon(other_zones_report_, kOtherZonesDelay,
+             [this]() { SendToRelays(report_content::kLoad); });
   }
 }
 
@@ -80,13 +80,12 @@
 // Failures come in great numbers under overload, so the reports to the whole
 // zone are paced. The users of the instance do not wait.
 void peer_reporter::TellZone(instance_key key) {
-  const millis interval = ZoneReportInterval(ring_.size());
-  if (whole_zone_report_.pace.DelayAt(boot_clock::Now(), interval) >
-      millis(0)) {
+  const bool zone_is_told = SendPaced(
+      whole_zone_report_, ZoneReportInterval(ring_.size()),
+      [this]() { Send(recipients::kZone, report_content::kWithUsage); });
+  if (!zone_is_told) {
     SendToUsersOf({key});
   }
-  SendPaced(whole_zone_report_, interval,
-            [this]() { Send(recipients::kZone, report_content::kWithUsage); });
 }
 
 // The nodes that still wait to read the change can then do so here.
@@ -146,19 +145,20 @@
       });
 }
 
-void peer_reporter::SendPaced(delayed_report& report, millis interval,
+bool peer_reporter::SendPaced(delayed_report& report, millis interval,
                               std::function<void()> send) {
   const millis now = boot_clock::Now();
   const millis delay = report.pace.DelayAt(now, interval);
   if (delay == millis(0)) {
     report.pace.NoteSent(now);
     send();
-    return;
+    return true;
   }
   SendSoon(report, delay, [&report, send = std::move(send)]() {
     report.pace.NoteSent(boot_clock::Now());
     send();
   });
+  return false;
 }
 
 std::string peer_reporter::MakeDatagram(report_content content, millis now,
--- a/tests/balance/instance_selector_test.cc
+++ b/tests/balance/instance_selector_test.cc
@@ -132,6 +132,8 @@
         choice_basis::kTrial);
   CHECK(far.Choose(MakeRequest("ledger", true), due).basis ==
         choice_basis::kRegular);
+  CHECK(far.Choose(MakeRequest("ledger", true), kStart + millis(1'990)).basis ==
+        choice_basis::kRegular);
   // If the zone has no nodes, the instance is tried two seconds after it
   // failed.
   CHECK(far.Choose(MakeRequest("ledger", true), kStart + millis(2'000)).basis ==
--- a/tests/front/endless_answer_test.cc
+++ b/tests/front/endless_answer_test.cc
@@ -30,12 +30,7 @@
       : answer_(std::move(answer)),
         acceptor_(world.context, {asio::ip::make_address("127.0.0.1"), 0}) {
     asio::co_spawn(world.context, Accept(), asio::detached);
-    entry_.id = "endless";
-    entry_.service = "s";
-    entry_.address = "127.0.0.1";
-    entry_.port = acceptor_.local_endpoint().port();
-    entry_.zone = "a";
-    entry_.slots = 3;
+    entry_ = world.MakeEntry("endless", acceptor_.local_endpoint().port());
     world.AddEntry(entry_);
   }
 
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -135,15 +135,22 @@
   raw_server& AddInstance(raw_server::handler answer) {
     servers_.push_back(
         std::make_unique<raw_server>(context, std::move(answer)));
+    AddEntry(MakeEntry("i-" + std::to_string(servers_.size()),
+                       servers_.back()->port()));
+    return *servers_.back();
+  }
+
+  /// Returns the entry of an instance of service "s" on loopback.
+  static instance_entry MakeEntry(const std::string& id, uint16_t port,
+                                  int slots = 3) {
     instance_entry entry;
-    entry.id = "i-" + std::to_string(servers_.size());
+    entry.id = id;
     entry.service = "s";
     entry.address = "127.0.0.1";
-    entry.port = servers_.back()->port();
+    entry.port = port;
     entry.zone = "a";
-    entry.slots = 3;
-    AddEntry(entry);
-    return *servers_.back();
+    entry.slots = slots;
+    return entry;
   }
 
   /// Adds an entry to the list of instances.
--- a/tests/front/pipelining_test.cc
+++ b/tests/front/pipelining_test.cc
@@ -98,14 +98,9 @@
     acceptor_.bind(any);
     acceptor_.listen();
     asio::co_spawn(world.context, Accept(), asio::detached);
-    instance_entry entry;
-    entry.id = "held";
-    entry.service = "s";
-    entry.address = "127.0.0.1";
-    entry.port = acceptor_.local_endpoint().port();
-    entry.zone = "a";
-    entry.slots = 8;
-    world.AddEntry(entry);
+    constexpr int kSlots = 8;
+    world.AddEntry(
+        world.MakeEntry("held", acceptor_.local_endpoint().port(), kSlots));
   }
 
   /// Answers the request with this id.
