--- a/review/standin.py
+++ b/review/standin.py
@@ -523,11 +523,16 @@
         fleet = Fleet(pathlib.Path(directory), zones)
         return fleet
 
+    def stop(*_):
+        raise CannotRun("stopped by a signal")
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
         broken = asyncio.run(asyncio.wait_for(case(make), 110))
         code = 1 if broken else 0
-    except (CannotRun, asyncio.TimeoutError) as failure:
-        print("could not run:", failure or "timed out")
+    except Exception as failure:  # pylint: disable=broad-except
+        print("could not run:", repr(failure))
         code = 2
     finally:
         if fleet:
