--- a/review/allotment.py
+++ b/review/allotment.py
@@ -14,8 +14,9 @@
 
 
 def used_s(pid):
-    with open(f"/proc/{pid}/schedstat", encoding="ascii") as stat:
-        return int(stat.read().split()[0]) / 1e9
+    """Returns the processor time of a process; OSError if it has ended."""
+    process_clock = ~pid << 3 | 2  # as clock_getcpuclockid() makes it
+    return time.clock_gettime(process_clock)
 
 
 def main(pid, share):
