--- /dev/null
+++ b/balance/record_lag.cc
@@ -0,0 +1,44 @@
+#include "balance/record_lag.h"
+
+#include <cstddef>
+
+namespace peridotarch {
+
+namespace {
+
+// Later announcements are merged into the last one.
+constexpr size_t kMaxMissing = 32;
+
+}  // namespace
+
+void record_lag::NoteAnnounced(uint64_t position, millis now) {
+  if (position <= known_ ||
+      (!missing_.empty() && position <= missing_.back().position)) {
+    return;
+  }
+  if (missing_.size() == kMaxMissing) {
+    missing_.back().position = position;
+    return;
+  }
+  missing_.push_back({position, now});
+}
+
+void record_lag::NoteKnown(uint64_t position) {
+  known_ = position > known_ ? position : known_;
+  while (!missing_.empty() && missing_.front().position <= known_) {
+    missing_.pop_front();
+  }
+}
+
+std::optional<millis> record_lag::BehindSince() const {
+  if (missing_.empty()) {
+    return std::nullopt;
+  }
+  return missing_.front().first_heard_at;
+}
+
+millis record_lag::BehindFor(millis now) const {
+  return missing_.empty() ? millis(0) : now - missing_.front().first_heard_at;
+}
+
+}  // namespace peridotarch
--- /dev/null
+++ b/balance/record_lag.h
@@ -0,0 +1,40 @@
+#ifndef BALANCE_RECORD_LAG_H_
+#define BALANCE_RECORD_LAG_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "core/millis.h"
+
+namespace peridotarch {
+
+/// Tracks for how long this node has been behind its peers in one kind of the
+/// store's records. A position only rises: a version, or an offset in the
+/// store.
+class record_lag {
+ public:
+  /// Notes that a peer knows the records up to `position`.
+  void NoteAnnounced(uint64_t position, millis now);
+  /// Notes that this node knows the records up to `position`.
+  void NoteKnown(uint64_t position);
+
+  /// Returns when a peer first announced the oldest record that this node
+  /// lacks; none if it lacks none.
+  [[nodiscard]] std::optional<millis> BehindSince() const;
+  /// Returns for how long this node has been behind, 0 if it is not.
+  [[nodiscard]] millis BehindFor(millis now) const;
+
+ private:
+  struct announcement {
+    uint64_t position = 0;
+    millis first_heard_at;
+  };
+
+  uint64_t known_ = 0;
+  std::deque<announcement> missing_;  ///< By rising position and time.
+};
+
+}  // namespace peridotarch
+
+#endif  // BALANCE_RECORD_LAG_H_
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -18,6 +18,7 @@
 #include "front/caller_session.h"
 #include "front/front_node.h"
 #include "front/peer_reporter.h"
+#include "front/record_service.h"
 #include "front/store_watch.h"
 #include "platform/boot_settings.h"
 #include "platform/call_wire.h"
@@ -78,9 +79,6 @@
     answer.prepare_payload();
     return answer;
   }
-  if (store_mirror::IsAsked(request.target())) {
-    return node.mirror.Answer(request.target());
-  }
   http_response answer(
       node.Ready() ? http::status::ok : http::status::service_unavailable,
       kHttp11);
@@ -101,9 +99,11 @@
     if (!read.request) {
       break;
     }
-    http_response answer = AnswerAdminRequest(*node, *read.request);
     const bool stays_open =
-        co_await session.Write(std::move(answer), read.request->keep_alive());
+        store_mirror::IsAsked(read.request->target())
+            ? co_await ServeRecords(*node, session, *read.request)
+            : co_await session.Write(AnswerAdminRequest(*node, *read.request),
+                                     read.request->keep_alive());
     if (!stays_open) {
       break;
     }
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -42,6 +42,8 @@
 constexpr millis kMaxFirstPeerWait(1'200);
 constexpr millis kRetryDelay(900);  // even a refused call costs money
 
+constexpr std::string_view kSourceStore = "store";
+
 endpoint StoreEndpoint(const front_node& node) {
   return {node.settings.store.host, node.settings.store.port};
 }
@@ -87,7 +89,7 @@
   }
 }
 
-bool store_watch::ApplyConfig(const keyed_page& page) {
+bool store_watch::ApplyConfig(const keyed_page& page, std::string_view source) {
   const uint64_t known = next_config_offset_.value_or(0);
   next_config_offset_ = std::max(page.next, known);
   if (page.next < known) {
@@ -110,11 +112,15 @@
                     invariant::kConfigForward, "");
       const uint64_t version = config.version;
       const size_t routes = config.routes.size();
+      const millis behind = config_lag_.BehindFor(boot_clock::Now());
+      config_lag_.NoteKnown(version);
       node_->routes.Store(
           std::make_shared<const route_index>(std::move(config)));
-      node_->log.Write(
-          "config_in_force",
-          {{"version", version}, {"before", old_version}, {"routes", routes}});
+      node_->log.Write("config_in_force", {{"version", version},
+                                           {"before", old_version},
+                                           {"routes", routes},
+                                           {"source", source},
+                                           {"behind_ms", behind.count()}});
       changed = true;
     } catch (const codec_error& failure) {
       node_->log.Write("config_refused", {{"error", failure.what()}});
@@ -137,7 +143,7 @@
     next_config_offset_.reset();
     page = co_await config_client_.Newest(kConfigTopic, kCallTimeout);
   }
-  if (ApplyConfig(page)) {
+  if (ApplyConfig(page, kSourceStore)) {
     node_->on_load_change(load_change::kRecordsChanged, 0);
   }
 }
@@ -239,8 +245,10 @@
   }
 }
 
-bool store_watch::PublishInstances() {
+bool store_watch::PublishInstances(std::string_view source) {
   const millis now = boot_clock::Now();
+  const millis behind = instances_lag_.BehindFor(now);
+  instances_lag_.NoteKnown(node_->instances_offset);
   if (!instances_.ApplyPendingRemovals(now)) {
     return false;
   }
@@ -253,7 +261,9 @@
   node_->log.Write("instances_changed",
                    {{"instances", entries.size()},
                     {"draining", draining},
-                    {"offset", next_instances_offset_.value_or(0)}});
+                    {"offset", next_instances_offset_.value_or(0)},
+                    {"source", source},
+                    {"behind_ms", behind.count()}});
   return true;
 }
 
@@ -311,7 +321,7 @@
       const endpoint peer = NextMirror();
       co_await ReadFromPeer(kInstanceTopic, peer);
     }
-    if (PublishInstances()) {
+    if (PublishInstances(kSourceStore)) {
       node_->instances_changed_at = node_->instances_offset;
       node_->on_load_change(load_change::kRecordsChanged, 0);
     }
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "balance/instance_list.h"
+#include "balance/record_lag.h"
 #include "front/front_node.h"
 #include "front/peer_ahead.h"
 #include "platform/awaitable.h"
@@ -44,7 +45,7 @@
   awaitable<void> ReadConfig();
   awaitable<void> ReadInstances();
   /// Returns whether a newer configuration came into force.
-  bool ApplyConfig(const keyed_page& page);
+  bool ApplyConfig(const keyed_page& page, std::string_view source);
   void ApplyInstances(const keyed_page& page);
   [[nodiscard]] bool DelegatesReads() const;
   /// Returns whether this node, which lacks records, waits for a peer's.
@@ -55,7 +56,7 @@
   [[nodiscard]] millis MaxPeerWait() const;
   [[nodiscard]] millis DelegationPollInterval() const;
   /// Returns whether the instances have changed.
-  bool PublishInstances();
+  bool PublishInstances(std::string_view source);
   [[nodiscard]] millis PauseAfterRead(bool reached) const;
   void NoteStoreCall(bool reached, const std::string& call,
                      const std::string& detail);
@@ -67,6 +68,8 @@
   std::optional<uint64_t> next_config_offset_;
   std::optional<uint64_t> next_instances_offset_;
   instance_list instances_;
+  record_lag config_lag_;
+  record_lag instances_lag_;
   bool is_catching_up_ = false;
   peer_ahead peer_ahead_;
   /// Runs while this node waits for a reader of its own zone.
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -47,29 +47,41 @@
     co_return;
   }
   const bool config = topic == kConfigTopic;
+  const std::optional<uint64_t> known =
+      config ? next_config_offset_ : next_instances_offset_;
   try {
     store_client peer(node_->context.get_executor(), remote);
-    const keyed_page page = co_await peer.Newest(
-        topic, kPeerCallTimeout,
-        config ? next_config_offset_ : next_instances_offset_);
+    const keyed_page page =
+        co_await peer.Newest(topic, kPeerCallTimeout, known);
     if (config) {
-      ApplyConfig(page);
+      ApplyConfig(page, remote.address);
     } else {
       ApplyInstances(page);
       node_->instances_known = true;
-      PublishInstances();
+      PublishInstances(remote.address);
     }
     node_->counters
         .Counter("peer_reads_total", "Reads of the store's records at a peer.")
         .Add();
   } catch (const platform_error& failure) {
-    node_->log.Write("peer_read_failed", {{"peer", remote.address},
-                                          {"topic", topic},
-                                          {"error", failure.what()}});
+    const record_lag& lag = config ? config_lag_ : instances_lag_;
+    node_->log.Write("peer_read_failed",
+                     {{"peer", remote.address},
+                      {"topic", topic},
+                      {"error", failure.what()},
+                      {"known", known.value_or(0)},
+                      {"behind_ms", lag.BehindFor(boot_clock::Now()).count()}});
+    node_->counters
+        .Counter("peer_read_failures_total",
+                 "Failed reads of the store's records at a peer.")
+        .Add();
   }
 }
 
 void store_watch::CatchUp(const peer_ahead& peer) {
+  const millis now = boot_clock::Now();
+  config_lag_.NoteAnnounced(peer.config_version, now);
+  instances_lag_.NoteAnnounced(peer.instances_offset, now);
   // While this node waits for its turn, the last peer that has the records is
   // the one to read: it has had the fewest readers.
   if (!is_catching_up_ || !peer.is_other_zone || peer_ahead_.is_other_zone) {
