--- a/review/2/case.py
+++ b/tests/process/foreign_entry_case.py
@@ -1,16 +1,17 @@
-"""An entry of another writer is in the registry while the instances of a
-service are replaced. Checks DRAIN, and whether the requests are served."""
+"""The registry has an entry of another writer, whose key and value are no text,
+while the instances of a service are replaced.
+
+Claim: DRAIN holds: no request reaches an instance later than drain_s after its
+draining was acknowledged.
+Excuse: none; the entry names no instance, and the others hold.
+"""
 
 import asyncio
 import collections
-import pathlib
 import random
-import sys
 import time
 
-HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent))
-import standin  # noqa: E402
+import standin
 
 PROXIES = 4
 INSTANCES = 6
@@ -97,4 +98,4 @@
     return bool(late)
 
 
-standin.main(HERE, case)
+standin.main(__file__, case)
--- a/review/4/case.py
+++ b/tests/process/large_offset_case.py
@@ -1,17 +1,18 @@
 """The instances of a service are replaced. The registry's log has taken more
-than 2^32 records since it began. Checks DRAIN, and whether requests are served."""
+than 2^32 records since it began.
+
+Claim: DRAIN holds: no request reaches an instance later than drain_s after its
+draining was acknowledged.
+Excuse: none; offsets number the records without limit. BASE=0 is the control.
+"""
 
 import asyncio
 import collections
 import os
-import pathlib
 import random
-import sys
 import time
 
-HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent))
-import standin  # noqa: E402
+import standin
 
 PROXIES = 4
 INSTANCES = 6
@@ -97,4 +98,4 @@
     return bool(late)
 
 
-standin.main(HERE, case)
+standin.main(__file__, case)
--- a/review/3/case.py
+++ b/tests/process/large_version_case.py
@@ -1,17 +1,17 @@
-"""The configuration changes: a route moves to another service. The versions are
-large numbers. Checks CONFIG."""
+"""A route moves to another service. The versions are larger than 2^32.
+
+Claim: CONFIG holds: no request sent later than config_apply_s after the
+acknowledgement is run by the old service.
+Excuse: none; nothing limits a version's number. SMALL=1 is the control.
+"""
 
 import asyncio
 import collections
 import os
-import pathlib
 import random
-import sys
 import time
 
-HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent))
-import standin  # noqa: E402
+import standin
 
 PROXIES = 4
 CONSUMERS = 16
@@ -78,4 +78,4 @@
     return bool(stale)
 
 
-standin.main(HERE, case)
+standin.main(__file__, case)
--- /dev/null
+++ b/tests/process/proxies.py
@@ -0,0 +1,83 @@
+"""One process of the program under test, with its settings and its log."""
+
+import asyncio
+import os
+import re
+import signal
+import subprocess
+
+from wire import ROOT, read_head
+
+
+class Proxy:
+    """One edge machine: the program of the deploy file with its settings."""
+
+    def __init__(self, fleet, number, zone):
+        self.fleet, self.number, self.zone = fleet, number, zone
+        self.ip = f"127.0.0.{11 + number}"
+        self.process = None
+        self.ports = fleet.ports
+        self.restarts = False
+
+    def write_settings(self, first_start):
+        fleet = self.fleet
+        values = {
+            "node": f"edge-{self.zone}-{self.number}", "zone": self.zone,
+            "listen.front": f"{self.ip}:{self.ports[0]}",
+            "listen.ready": f"{self.ip}:{self.ports[1]}",
+            "listen.control": f"{self.ip}:{self.ports[2]}",
+            "provider.address": f"127.0.0.1:{fleet.store.port}",
+            "seeds": ",".join(f"{proxy.ip}:{self.ports[2]}"
+                              for proxy in fleet.proxies[:3]),
+            "internal_ports": f"{self.ports[3]},{self.ports[3] + 1}",
+            "bounds": ",".join(f"{k}={v}" for k, v in fleet.bounds.items()),
+            "bootstrap": "true" if first_start else "false"}
+        text = (ROOT / "deploy" / "settings.template").read_text()
+        text = re.sub(r"\{\{([^}]*)\}\}", lambda m: values[m.group(1)], text)
+        # The metrics port of the template may be taken on this machine.
+        text = re.sub(r"metrics-port=\d+", f"metrics-port={self.ports[4]}",
+                      text)
+        self.settings = fleet.directory / f"edge-{self.number}.settings"
+        self.settings.write_text(text)
+
+    def start(self, first_start=True):
+        self.write_settings(first_start)
+        self.log = self.fleet.directory / f"edge-{self.number}.log"
+        output = open(self.log, "ab")
+        environment = {"PERIDOTARCH_BOOT": str(self.settings),
+                       "PATH": os.environ["PATH"],
+                       "HOME": os.environ.get("HOME", "/")}
+        self.process = subprocess.Popen(
+            self.fleet.command, cwd=ROOT, env=environment,
+            stdin=subprocess.DEVNULL, stdout=output,
+            stderr=subprocess.STDOUT)
+        output.close()
+        self.fleet.record(f"process edge-{self.number} starts")
+
+    def signal(self, which):
+        if self.process.poll() is None:
+            self.process.send_signal(which)
+
+    async def is_ready(self):
+        status = await self.ask(self.ports[1], "/-/readyz")
+        return status == 200
+
+    async def ask(self, port, path):
+        try:
+            reader, writer = await asyncio.open_connection(self.ip, port)
+        except OSError:
+            return 0
+        try:
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            head = await asyncio.wait_for(read_head(reader), 1)
+            return int(head[0].split(" ")[1]) if head else 0
+        except (OSError, asyncio.TimeoutError):
+            return 0
+        finally:
+            writer.close()
+
+    def kill(self):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
--- a/review/1/case.py
+++ b/tests/process/slow_attempt_case.py
@@ -1,5 +1,10 @@
-"""Instances turn slow; requests end in the same turn of the proxy's event loop
-as the timer of their slow attempt. Checks LOST and that the process goes on."""
+"""Instances turn slow; requests end in the same turn of the event loop as the
+timer of their slow attempt.
+
+Claim: LOST holds: no process ends by itself, and no request that a sound
+instance has got ends with a closed connection.
+Excuse: none; the machine's processor is an allotment of 0.1 of a core.
+"""
 
 import asyncio
 import collections
@@ -9,10 +14,9 @@
 import sys
 import time
 
-HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent))
-import standin  # noqa: E402
+import standin
 
+ALLOTMENT = pathlib.Path(__file__).resolve().parent / "allotment.py"
 INSTANCES = 24
 SLOW_INSTANCES = 9  # a share of 0.375
 SLOW_FACTOR = 7
@@ -73,7 +77,7 @@
 
     def limit():
         return subprocess.Popen(
-            [sys.executable, str(HERE.parent / "allotment.py"),
+            [sys.executable, str(ALLOTMENT),
              str(proxy.process.pid), str(CORE_SHARE)])
 
     limiter = limit()
@@ -126,4 +130,4 @@
     return len(lost) > MOST_CLOSED
 
 
-standin.main(HERE, case)
+standin.main(__file__, case)
--- /dev/null
+++ b/tests/process/staleness.py
@@ -0,0 +1,144 @@
+"""How late the nodes of a deployment follow the records of the store."""
+
+import asyncio
+import collections
+import json
+import resource
+import time
+
+
+class Change:
+    """An acknowledged record: a version, or the leaving of an instance."""
+
+    def __init__(self, number, name, moved=None):
+        self.number = number  # the version, or the offset of the record
+        self.name = name  # of the route that was added, or the instance
+        self.moved = moved  # the route that goes to another service
+        self.at = time.monotonic()
+        self.at_ms = time.time() * 1000
+
+
+def quantile(values, share):
+    values = sorted(values)
+    return values[min(len(values) - 1, int(share * len(values)))]
+
+
+class Report:
+    """Gathers what the stand-ins saw and judges it by the rules."""
+
+    def __init__(self, fleet, bound_s):
+        self.fleet, self.bound_s = fleet, bound_s
+        self.versions, self.leavings = [], []
+        self.probes = []  # (node, change, route, sent at, request, result)
+        self.longest_delay_s = 0.0
+
+    async def watch_own_delay(self, step_s=0.02):
+        """A stand-in that is late itself would blame the nodes."""
+        while True:
+            due = time.monotonic() + step_s
+            await asyncio.sleep(step_s)
+            self.longest_delay_s = max(self.longest_delay_s,
+                                       time.monotonic() - due)
+
+    def verdict(self):
+        ran_at = {request: name for _, name, request in self.fleet.runs}
+        services = {one.name: one.service for one in self.fleet.instances}
+        late = [one for one in self.probes
+                if one[1] and one[3] > one[1].at + self.bound_s]
+        refused = [one for one in late if one[5] == 404]
+        old = [one for one in late if one[2] == one[1].moved
+               and services.get(ran_at.get(one[4])) == "desk"]
+        draining = self.late_arrivals()
+        self.print_rule("CONFIG", len(refused) + len(old),
+                        f"refused 404: {len(refused)}, run by the old "
+                        f"service: {len(old)}, of {len(late)} requests at "
+                        f"{len({one[0] for one in refused + old})} nodes")
+        denied = [one for one in self.probes if one[5] in (400, 403, 404)
+                  and (not one[1] or one in refused)]
+        allowed = 5 + len(self.probes) / 500
+        self.print_rule("DENIED", max(0, len(denied) - allowed),
+                        f"{len(denied)} of {len(self.probes)}, "
+                        f"allowed {allowed:.0f}")
+        self.print_rule("DRAIN", len(draining),
+                        f"{len(draining)} arrivals at "
+                        f"{len(set(draining))} of {len(self.leavings)} "
+                        "instances that leave")
+        self.print_logs()
+        self.print_own()
+        return bool(refused or old or draining or len(denied) > allowed)
+
+    def late_arrivals(self):
+        left = {change.name: change.at for change in self.leavings}
+        return [name for at, name, _ in self.fleet.arrivals
+                if name in left and at > left[name] + self.bound_s]
+
+    @staticmethod
+    def print_rule(rule, broken, text):
+        print(f"{rule} {'broken' if broken else 'held'}: {text}")
+
+    def print_logs(self):
+        logs = [self.read_log(proxy) for proxy in self.fleet.proxies]
+        end_ms = time.time() * 1000
+        self.print_lags("versions", self.versions, end_ms, [
+            [(line["at_ms"], line["version"]) for line in lines
+             if line.get("event") == "config_in_force"] for lines in logs])
+        self.print_lags("leavings", self.leavings, end_ms, [
+            [(line["at_ms"], line["offset"] - 1) for line in lines
+             if line.get("event") == "instances_changed"] for lines in logs])
+        failed = collections.defaultdict(collections.Counter)
+        for lines in logs:
+            for line in lines:
+                if line.get("event") == "peer_read_failed":
+                    failed[line["topic"]][line["peer"]] += 1
+        for topic, peers in sorted(failed.items()):
+            print(f"peer_read_failed {topic}: {peers.total()} at "
+                  f"{len(peers)} peers, {dict(peers.most_common(12))}")
+        if not failed:
+            print("peer_read_failed: 0")
+
+    def print_lags(self, what, changes, end_ms, steps_of_nodes):
+        """For each node the first step that has a change counts."""
+        behind, all_lags, first_lags, rows = set(), [], [], []
+        for change in changes:
+            lags = []
+            for node, steps in enumerate(steps_of_nodes):
+                at_ms = next((at for at, number in steps
+                              if number >= change.number), end_ms)
+                lags.append((at_ms - change.at_ms) / 1000)
+                if lags[-1] > self.bound_s:
+                    behind.add(node)
+            all_lags += lags
+            first_lags.append(min(lags))
+            rows.append(f"{change.number} {min(lags):.2f} "
+                        f"{quantile(lags, 0.5):.2f} {max(lags):.2f} "
+                        f"{sum(lag > self.bound_s for lag in lags)}")
+        if not changes:
+            return
+        print(f"{what}: {len(changes)}; nodes behind: {len(behind)} of "
+              f"{len(steps_of_nodes)}; s until in force: median "
+              f"{quantile(all_lags, 0.5):.2f}, 0.99 "
+              f"{quantile(all_lags, 0.99):.2f}, longest {max(all_lags):.2f}; "
+              f"at the first node: longest {max(first_lags):.2f}")
+        for row in rows:  # number, first, median and last node, nodes behind
+            self.fleet.record(f"{what}: {row}")
+
+    @staticmethod
+    def read_log(proxy):
+        lines = []
+        for line in proxy.log.read_text(errors="replace").splitlines():
+            if line.startswith("{"):
+                try:
+                    lines.append(json.loads(line))
+                except json.JSONDecodeError:
+                    pass  # the last line of a process that runs
+        return lines
+
+    def print_own(self):
+        for proxy in self.fleet.proxies:
+            proxy.kill()
+        used = resource.getrusage(resource.RUSAGE_CHILDREN)
+        results = collections.Counter(str(one[5]) for one in self.probes)
+        print(f"answers: {dict(results)}; the stand-ins' longest delay "
+              f"{self.longest_delay_s:.2f} s, longest append "
+              f"{self.fleet.store.longest_s:.2f} s; processor time of the "
+              f"nodes {used.ru_utime + used.ru_stime:.1f} s")
--- /dev/null
+++ b/tests/process/wire.py
@@ -0,0 +1,66 @@
+"""HTTP/1.1 for the stand-ins, and the record of what they saw."""
+
+import asyncio
+import os
+import pathlib
+import socket
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+HOST = "box.example"
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+
+class CannotRun(Exception):
+    """The case could not run, which says nothing about the rule."""
+
+
+class Record:
+    """record.txt: what was sent, answered and run, with times in seconds."""
+
+    def __init__(self, directory):
+        self.file = open(directory / "record.txt", "w", encoding="utf-8")
+        self.started = time.monotonic()
+
+    def __call__(self, text):
+        self.file.write(f"{time.monotonic() - self.started:9.4f} {text}\n")
+
+    def close(self):
+        self.file.close()
+
+
+async def read_head(reader):
+    """Returns (first line, headers with lower-case names), or None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    return lines[0], headers
+
+
+async def read_body(reader, headers):
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        body = b""
+        while True:
+            size = int((await reader.readline()).split(b";")[0], 16)
+            body += (await reader.readexactly(size + 2))[:size]
+            if size == 0:
+                return body
+    return await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+def no_delay(writer):
+    writer.get_extra_info("socket").setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def http_answer(status, body=b"", headers=()):
+    text = f"HTTP/1.1 {status} Answer\r\nContent-Length: {len(body)}\r\n"
+    text += "".join(f"{name}: {value}\r\n" for name, value in headers)
+    return text.encode() + b"\r\n" + body
