Process tests: the stand-in store makes a page once

It made each page of the newest values anew, from all records of the topic, and could not keep up with 123 nodes: an append took up to 15.9 s. It keeps the newest values and the pages of the current end of the topic. The checks and bounds are the same.

No functional change.

--- a/tests/process/store.py
+++ b/tests/process/store.py
@@ -35,6 +35,8 @@
     def __init__(self, record):
         self.record = record
         self.topics = {}
+        self.values = {}  # topic: newest value of each key, removed ones too
+        self.pages = {}  # (topic, after): end of the topic, answer
         self.changed = asyncio.Condition()
         self.down = False  # "silent": calls get no answer
         self.base = {}  # topic: offset of the first record that is kept
@@ -54,14 +56,14 @@
         async with self.changed:
             log = self.topics.setdefault(topic, [])
             log.extend(records)
+            self.values.setdefault(topic, {}).update(records)
             self.changed.notify_all()
         return self.base.get(topic, 0) + len(log) - 1
 
     def newest(self, topic):
-        records = self.topics.get(topic, [])
-        values = {key: value for key, value in records}
+        values = self.values.get(topic, {})
         return ({key: value for key, value in values.items() if value},
-                self.base.get(topic, 0) + len(records))
+                self.base.get(topic, 0) + len(self.topics.get(topic, [])))
 
     async def serve(self, reader, writer):
         no_delay(writer)
@@ -129,6 +131,12 @@
         return http_answer(404)
 
     def newest_page(self, topic, after):
+        end = len(self.topics.get(topic, []))
+        if self.pages.get((topic, after), (-1, None))[0] != end:
+            self.pages[topic, after] = (end, self.make_page(topic, after))
+        return self.pages[topic, after][1]
+
+    def make_page(self, topic, after):
         values, end = self.newest(topic)
         items = []
         size = 0
