Compression in one place

config/record had its own calls of zstd. Answers to other nodes are to be compressed too, so the two functions move to core/compression, with the level and the largest size as arguments.

No functional change.

--- a/config/record.cc
+++ b/config/record.cc
@@ -1,12 +1,11 @@
 #include "config/record.h"
 
-#include <zstd.h>
-
 #include <algorithm>
 #include <msgpack.hpp>
 #include <utility>
 
 #include "config/parse.h"
+#include "core/compression.h"
 #include "core/error.h"
 
 namespace peridotarch {
@@ -192,38 +191,13 @@
   throw codec_error("a record has an unknown kind");
 }
 
-std::string Compress(const std::string& payload) {
-  std::string out(ZSTD_compressBound(payload.size()), '\0');
-  const size_t size = ZSTD_compress(out.data(), out.size(), payload.data(),
-                                    payload.size(), kCompressionLevel);
-  if (ZSTD_isError(size) != 0) {
-    throw codec_error("a record cannot be compressed");
-  }
-  out.resize(size);
-  return out;
-}
-
-std::string Decompress(std::string_view compressed) {
-  const unsigned long long size =
-      ZSTD_getFrameContentSize(compressed.data(), compressed.size());
-  if (size > kMaxPayloadBytes) {  // zstd's two error values are larger.
-    throw codec_error("the payload of a record is too large");
-  }
-  std::string out(size, '\0');
-  const size_t got = ZSTD_decompress(out.data(), out.size(), compressed.data(),
-                                     compressed.size());
-  if (ZSTD_isError(got) != 0 || got != size) {
-    throw codec_error("a record cannot be decompressed");
-  }
-  return out;
-}
-
 }  // namespace
 
 std::string EncodeRecord(const config_record& record,
                          std::string_view fleet_key) {
   const std::string compressed = Compress(
-      std::visit([](const auto& value) { return ToPayload(value); }, record));
+      std::visit([](const auto& value) { return ToPayload(value); }, record),
+      kCompressionLevel);
   const digest signature = HmacSha256(fleet_key, compressed);
   std::string bytes(kMagic);
   const size_t rest = kDigestBytes + compressed.size();
@@ -263,7 +237,8 @@
     return {apply_outcome::kVoidForged, {}};
   }
   try {
-    return {apply_outcome::kAccepted, FromPayload(Decompress(compressed))};
+    return {apply_outcome::kAccepted,
+            FromPayload(Decompress(compressed, kMaxPayloadBytes))};
   } catch (const std::exception&) {  // msgpack throws types of its own.
     return {apply_outcome::kVoidTorn, {}};
   }
