A mirror's answer holds the newest value of each key, is made once, and compressed

Cause: a mirror answered "since offset N" with every version after N, so the answer grew with how far its reader was behind, and it was made again (JSON and base64) for each of the 40 readers of a zone. A reader that timed out asked again for a larger answer; the thread of the node asked had no time to read the store itself.

Evidence, tests/process/stale_nodes on the code before (123 real processes, busy machine): one idle reader got 380 kB for one version, 9.3 to 15.4 MB for 25. 338 reads timed out with many readers of one version each, none with a lone reader of 25, 3939 with both; the first node had a version up to 31 s late. In a profile store_mirror::Answer is 31% and the decoding of superseded versions most of another 31%.

Ruled out: the answer's size alone (a lone reader gets 10 MB in 0.24 s), and many readers alone (they fail in groups, but recover).

Change: only the newest change of each key is kept. An answer is made once for all readers that miss the same changes, and compressed with zstd for readers that accept it; a build from before gets plain JSON. The time limit of a call includes the connection, and an answer of the store that has begun may take 1.5 s longer, so that a narrow link does not make a node start the same read again.

Tests: tests/front/mirror_test.cc.

--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -99,11 +99,14 @@
     if (!read.request) {
       break;
     }
-    const bool stays_open =
-        store_mirror::IsAsked(read.request->target())
-            ? co_await ServeRecords(*node, session, *read.request)
-            : co_await session.Write(AnswerAdminRequest(*node, *read.request),
-                                     read.request->keep_alive());
+    bool stays_open = false;
+    if (store_mirror::IsAsked(read.request->target())) {
+      stays_open = co_await ServeRecords(*node, session, *read.request);
+    } else {
+      http_response answer = AnswerAdminRequest(*node, *read.request);
+      stays_open =
+          co_await session.Write(std::move(answer), read.request->keep_alive());
+    }
     if (!stays_open) {
       break;
     }
--- a/front/record_service.cc
+++ b/front/record_service.cc
@@ -14,6 +14,11 @@
 
 constexpr millis kSlowAnswer(100);  // an answer that takes longer is logged
 
+bool AcceptsZstd(const http_request& request) {
+  return request[boost::beast::http::field::accept_encoding].find(
+             kZstdCoding) != std::string_view::npos;
+}
+
 std::string RemoteAddress(http_session& session) {
   boost::system::error_code failure;
   const auto remote = session.stream().socket().remote_endpoint(failure);
@@ -29,7 +34,8 @@
   const std::shared_ptr<void> in_progress(
       nullptr, [&node](void*) { --node.record_reads_served; });
   const std::string reader = RemoteAddress(session);
-  http_response answer = node.mirror.Answer(request.target());
+  http_response answer =
+      node.mirror.Answer(request.target(), AcceptsZstd(request));
   const size_t bytes = answer.body().size();
   const bool stays_open =
       co_await session.Write(std::move(answer), request.keep_alive());
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -52,9 +52,12 @@
 
 store_watch::store_watch(std::shared_ptr<front_node> node)
     : node_(std::move(node)),
-      config_client_(node_->context.get_executor(), StoreEndpoint(*node_)),
-      instance_client_(node_->context.get_executor(), StoreEndpoint(*node_)),
-      node_client_(node_->context.get_executor(), StoreEndpoint(*node_)),
+      config_client_(node_->context.get_executor(), StoreEndpoint(*node_),
+                     record_server::kStore),
+      instance_client_(node_->context.get_executor(), StoreEndpoint(*node_),
+                       record_server::kStore),
+      node_client_(node_->context.get_executor(), StoreEndpoint(*node_),
+                   record_server::kStore),
       own_zone_wait_(node_->context) {}
 
 // The coroutine keeps this object alive until the loop has ended.
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -50,7 +50,8 @@
   const std::optional<uint64_t> known =
       config ? next_config_offset_ : next_instances_offset_;
   try {
-    store_client peer(node_->context.get_executor(), remote);
+    store_client peer(node_->context.get_executor(), remote,
+                      record_server::kPeer);
     const keyed_page page =
         co_await peer.Newest(topic, kPeerCallTimeout, known);
     if (config) {
