A node that its peers do not help in time reads the store itself

Cause: no bound on how long a node may stay behind. A node that leaves the reads of the store to others read at the peer that announced the change, and after a timeout at the next one, without end: up to 0.16 s for its turn, 0.7 s for the connection, 0.7 s for the answer, 0.03 s of pause, so that two failures use up the 2.5 s of the bound. The instances were read behind the configuration, at the same peer, and waited for its timeouts. A node that had not read the store for a while, or was behind a page of it, got every version it had missed.

Change: balance/record_lag notes when a peer first announced the oldest record that this node lacks. After half a second it reads the newest values at the store, once, and leaves the reads to others again; it does not call itself a reader meanwhile. Each topic is followed on its own (front/followed_topic, one loop for both). After a time in which others read, or when the store has more than fits into an answer, the newest values are read and not each version. Of a page only the newest version is decoded. What the store does not have is not missing, so a wrong announcement costs one read.

--- a/balance/record_lag.cc
+++ b/balance/record_lag.cc
@@ -8,6 +8,9 @@
 
 // Later announcements are merged into the last one.
 constexpr size_t kMaxMissing = 32;
+// Covers a node's turn in its zone and one read at a peer. What is left of two
+// seconds then suffices for a read of the store.
+constexpr millis kMaxBehind(500);
 
 }  // namespace
 
@@ -30,6 +33,16 @@
   }
 }
 
+void record_lag::NoteStoreRead(millis began_at) {
+  while (!missing_.empty() && missing_.front().first_heard_at <= began_at) {
+    missing_.pop_front();
+  }
+}
+
+bool record_lag::IsOverdue(millis now) const {
+  return BehindFor(now) >= kMaxBehind;
+}
+
 std::optional<millis> record_lag::BehindSince() const {
   if (missing_.empty()) {
     return std::nullopt;
--- a/balance/record_lag.h
+++ b/balance/record_lag.h
@@ -18,12 +18,19 @@
   void NoteAnnounced(uint64_t position, millis now);
   /// Notes that this node knows the records up to `position`.
   void NoteKnown(uint64_t position);
+  /// Notes a successful read of the store that began at `began_at`. It returned
+  /// all records that existed then, so what was announced before and is still
+  /// missing does not exist.
+  void NoteStoreRead(millis began_at);
 
   /// Returns when a peer first announced the oldest record that this node
   /// lacks; none if it lacks none.
   [[nodiscard]] std::optional<millis> BehindSince() const;
   /// Returns for how long this node has been behind, 0 if it is not.
   [[nodiscard]] millis BehindFor(millis now) const;
+  /// Returns whether it has been behind for so long that it should no longer
+  /// rely on its peers.
+  [[nodiscard]] bool IsOverdue(millis now) const;
 
  private:
   struct announcement {
--- /dev/null
+++ b/front/followed_topic.h
@@ -0,0 +1,45 @@
+#ifndef FRONT_FOLLOWED_TOPIC_H_
+#define FRONT_FOLLOWED_TOPIC_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "balance/record_lag.h"
+#include "front/front_node.h"
+#include "front/peer_ahead.h"
+#include "platform/store_client.h"
+
+namespace peridotarch {
+
+/// Time for a call to the store.
+inline constexpr millis kStoreCallTimeout(700);
+/// Pause after a failed call. Even a refused one costs money.
+inline constexpr millis kStoreRetryDelay(900);
+
+/// How far a node follows one topic of the store, and how it reads it.
+struct followed_topic {
+  followed_topic(front_node& node, std::string_view topic)
+      : name(topic),
+        client(node.context.get_executor(),
+               {node.settings.store.host, node.settings.store.port},
+               record_server::kStore),
+        own_zone_wait(node.context) {}
+
+  const std::string_view name;
+  store_client client;
+  std::optional<uint64_t> next_offset;  ///< Where to read on.
+  record_lag lag;
+  bool reached = true;          ///< The last read of the store succeeded.
+  bool read_waits = false;      ///< The next read waits for a change.
+  bool was_delegated = false;   ///< Since the last read of the store.
+  bool is_catching_up = false;  ///< A read at a peer is in progress.
+  peer_ahead source;            ///< The peer to catch up with.
+  /// Runs while this node waits for a reader of its own zone.
+  boost::asio::steady_timer own_zone_wait;
+};
+
+}  // namespace peridotarch
+
+#endif  // FRONT_FOLLOWED_TOPIC_H_
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -61,7 +61,8 @@
   /// Records that this node has read from the store or from a peer.
   store_mirror mirror;
   int record_reads_served = 0;  ///< Reads of the mirror in progress.
-  bool reads_store = false;     ///< The last read of the store succeeded.
+  /// The node reads the store itself, and the last read succeeded.
+  bool reads_store = false;
   /// Nodes of the fleet with a recent report, including this one.
   int live_nodes = 1;
   int live_nodes_in_zone = 1;  ///< Those of the own zone.
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -17,9 +17,8 @@
 namespace {
 
 // The configuration changes seldom, so a read waits for the next change. A dead
-// connection is noticed after kConfigWait plus kCallTimeout.
+// connection is noticed after kConfigWait plus kStoreCallTimeout.
 constexpr millis kConfigWait(3'000);
-constexpr millis kCallTimeout(700);
 // Entries change when an instance starts, leaves or begins to drain. The pause
 // between reads batches the changes of a release into few calls; a leaving
 // instance is still noticed well within 2 s.
@@ -29,6 +28,7 @@
 constexpr millis kPendingRemovalWait(200);
 constexpr millis kStartupRetryDelay(150);  // until this node can serve
 constexpr millis kDelegationPollInterval(250);
+constexpr millis kBehindPollInterval(50);  // while a peer knows more
 constexpr millis kStartupPollInterval(15);
 // A node that starts gets the records from a peer, since each call to the store
 // costs money. It reads the store if it has not listed its peers after
@@ -40,49 +40,43 @@
 // after the other, and there are no callers yet.
 constexpr millis kMaxFirstListTime(4'000);
 constexpr millis kMaxFirstPeerWait(1'200);
-constexpr millis kRetryDelay(900);  // even a refused call costs money
 
 constexpr std::string_view kSourceStore = "store";
 
-endpoint StoreEndpoint(const front_node& node) {
-  return {node.settings.store.host, node.settings.store.port};
-}
-
 }  // namespace
 
 store_watch::store_watch(std::shared_ptr<front_node> node)
     : node_(std::move(node)),
-      config_client_(node_->context.get_executor(), StoreEndpoint(*node_),
-                     record_server::kStore),
-      instance_client_(node_->context.get_executor(), StoreEndpoint(*node_),
-                       record_server::kStore),
-      node_client_(node_->context.get_executor(), StoreEndpoint(*node_),
-                   record_server::kStore),
-      own_zone_wait_(node_->context) {}
+      config_(*node_, kConfigTopic),
+      instances_(*node_, kInstanceTopic),
+      node_client_(node_->context.get_executor(),
+                   {node_->settings.store.host, node_->settings.store.port},
+                   record_server::kStore) {}
 
 // The coroutine keeps this object alive until the loop has ended.
-void store_watch::Spawn(awaitable<void> (store_watch::*run)()) {
+void store_watch::Spawn(std::function<awaitable<void>()> run) {
   asio::co_spawn(
       node_->context,
-      [self = shared_from_this(), run]() { return (self.get()->*run)(); },
+      [self = shared_from_this(), run = std::move(run)]() { return run(); },
       asio::detached);
 }
 
 void store_watch::Start(std::function<void(const host_port&)> on_peer) {
   on_peer_ = std::move(on_peer);
-  Spawn(&store_watch::FollowConfig);
-  Spawn(&store_watch::FollowInstances);
-  Spawn(&store_watch::Announce);
+  Spawn([this] { return Follow(config_); });
+  Spawn([this] { return Follow(instances_); });
+  Spawn([this] { return Announce(); });
 }
 
-void store_watch::NoteStoreCall(bool reached, const std::string& call,
+void store_watch::NoteStoreCall(bool reached, std::string_view call,
                                 const std::string& detail) {
   node_->counters
-      .Counter("store_calls_total", "Calls to the store by result.",
-               {{"call", call}, {"result", reached ? "ok" : "failed"}})
+      .Counter(
+          "store_calls_total", "Calls to the store by result.",
+          {{"call", std::string(call)}, {"result", reached ? "ok" : "failed"}})
       .Add();
   if (!reached) {
-    instances_.NoteStoreUnreachable();
+    list_.NoteStoreUnreachable();
   }
   node_->reads_store = reached;
   if (reached != store_reached_) {
@@ -92,76 +86,116 @@
   }
 }
 
+uint64_t store_watch::PositionIn(const followed_topic& topic) const {
+  return IsConfig(topic) ? node_->ConfigVersion() : node_->instances_offset;
+}
+
+uint64_t store_watch::PositionOf(const peer_ahead& peer,
+                                 const followed_topic& topic) const {
+  return IsConfig(topic) ? peer.config_version : peer.instances_offset;
+}
+
+bool store_watch::Apply(followed_topic& topic, const keyed_page& page,
+                        std::string_view source) {
+  bool changed = false;
+  if (IsConfig(topic)) {
+    changed = ApplyConfig(page, source);
+  } else {
+    ApplyInstances(page);
+    node_->instances_known = true;
+    changed = PublishInstances(source);
+  }
+  topic.lag.NoteKnown(PositionIn(topic));
+  return changed;
+}
+
 bool store_watch::ApplyConfig(const keyed_page& page, std::string_view source) {
-  const uint64_t known = next_config_offset_.value_or(0);
-  next_config_offset_ = std::max(page.next, known);
+  const uint64_t known = config_.next_offset.value_or(0);
+  config_.next_offset = std::max(page.next, known);
   if (page.next < known) {
     return false;
   }
-  bool changed = false;
   node_->mirror.Take(kConfigTopic, page);
-  for (const keyed_record& record : page.records) {
-    if (record.key != kConfigKey || !record.value) {
+  // Only the newest version that can be read matters.
+  for (auto record = page.records.rbegin(); record != page.records.rend();
+       ++record) {
+    if (record->key != kConfigKey || !record->value) {
       continue;
     }
     try {
-      fleet_config config = DecodeConfig(*record.value);
-      const auto previous = node_->routes.Load();
-      const uint64_t old_version = previous ? previous->config().version : 0;
-      if (previous && config.version <= old_version) {
-        continue;
-      }
-      node_->Verify(!previous || config.version > old_version,
-                    invariant::kConfigForward, "");
-      const uint64_t version = config.version;
-      const size_t routes = config.routes.size();
-      const millis behind = config_lag_.BehindFor(boot_clock::Now());
-      config_lag_.NoteKnown(version);
-      node_->routes.Store(
-          std::make_shared<const route_index>(std::move(config)));
-      node_->log.Write("config_in_force", {{"version", version},
-                                           {"before", old_version},
-                                           {"routes", routes},
-                                           {"source", source},
-                                           {"behind_ms", behind.count()}});
-      changed = true;
+      return PutConfigInForce(DecodeConfig(*record->value), source);
     } catch (const codec_error& failure) {
       node_->log.Write("config_refused", {{"error", failure.what()}});
     }
   }
-  return changed;
+  return false;
+}
+
+bool store_watch::PutConfigInForce(fleet_config config,
+                                   std::string_view source) {
+  const auto previous = node_->routes.Load();
+  const uint64_t old_version = previous ? previous->config().version : 0;
+  const uint64_t version = config.version;
+  if (previous && version <= old_version) {
+    return false;
+  }
+  const size_t routes = config.routes.size();
+  node_->Verify(!previous || version > old_version, invariant::kConfigForward,
+                "");
+  node_->routes.Store(std::make_shared<const route_index>(std::move(config)));
+  node_->log.Write(
+      "config_in_force",
+      {{"version", version},
+       {"before", old_version},
+       {"routes", routes},
+       {"source", source},
+       {"behind_ms", config_.lag.BehindFor(boot_clock::Now()).count()}});
+  return true;
 }
 
-awaitable<void> store_watch::ReadConfig() {
+// A node may have missed many changes. Reading them one after the other takes
+// the longer the more it has missed, so it reads the newest values instead.
+awaitable<void> store_watch::ReadStore(followed_topic& topic) {
+  const millis began_at = boot_clock::Now();
   keyed_page page;
-  if (next_config_offset_) {
+  bool reads_newest = !topic.next_offset || topic.was_delegated;
+  if (!reads_newest) {
     // A read that waits does not show whether the store is reachable. The first
-    // read after a failure, or after a time in which other nodes read for this
-    // one, therefore does not wait.
-    const millis wait = config_read_waits_ ? kConfigWait : millis(0);
-    page = co_await config_client_.Read(kConfigTopic, *next_config_offset_,
-                                        wait, wait + kCallTimeout);
+    // read after a failure therefore does not wait.
+    const millis wait = topic.read_waits ? ReadWait(topic) : millis(0);
+    page = co_await topic.client.Read(topic.name, *topic.next_offset, wait,
+                                      wait + kStoreCallTimeout);
+    reads_newest = page.forgotten || page.has_more;
   }
-  if (!next_config_offset_ || page.forgotten) {
-    next_config_offset_.reset();
-    page = co_await config_client_.Newest(kConfigTopic, kCallTimeout);
+  if (page.forgotten) {
+    topic.next_offset.reset();
   }
-  if (ApplyConfig(page, kSourceStore)) {
-    node_->on_load_change(load_change::kRecordsChanged, 0);
+  if (reads_newest) {
+    page = co_await topic.client.Newest(topic.name, kStoreCallTimeout);
   }
+  topic.was_delegated = false;
+  if (Apply(topic, page, kSourceStore)) {
+    AnnounceChange(topic);
+  }
+  if (!IsConfig(topic)) {
+    list_.NoteStoreRead();
+  }
+  topic.lag.NoteStoreRead(began_at);
 }
 
 // Few nodes read the store for the others. The others learn of new records from
 // load reports, and read them from the node that reports them. They do not
-// announce them again, or each change would make every node write to all.
-bool store_watch::DelegatesReads() const {
-  if (!config_reached_ || !instances_reached_) {
+// announce them again, or each change would make every node write to all. A
+// node that does not get the records from its peers in time reads the store.
+bool store_watch::DelegatesReads(const followed_topic& topic) const {
+  if (!config_.reached || !instances_.reached) {
     return false;
   }
   if (!node_->HasRecords()) {
     return WaitsForPeers();
   }
-  return !instances_.HasPendingRemovals() && !node_->must_read_store();
+  return !list_.HasPendingRemovals() && !node_->must_read_store() &&
+         !topic.lag.IsOverdue(boot_clock::Now());
 }
 
 // A node that starts alone finds peers that have the records. At the first
@@ -185,41 +219,19 @@
   return node_->settings.is_first_start ? kMaxFirstPeerWait : kMaxPeerWait;
 }
 
-millis store_watch::DelegationPollInterval() const {
-  return node_->HasRecords() ? kDelegationPollInterval : kStartupPollInterval;
-}
-
-awaitable<void> store_watch::FollowConfig() {
-  const asio::any_io_executor executor = node_->context.get_executor();
-  for (;;) {
-    if (DelegatesReads()) {
-      config_read_waits_ = false;
-      co_await Sleep(executor, DelegationPollInterval());
-      continue;
-    }
-    std::string failed;
-    try {
-      co_await ReadConfig();
-    } catch (const platform_error& failure) {
-      failed = failure.what();
-    }
-    config_reached_ = failed.empty();
-    config_read_waits_ = config_reached_;
-    NoteStoreCall(failed.empty(), "config", failed);
-    if (!failed.empty()) {
-      const endpoint peer = NextMirror();
-      co_await ReadFromPeer(kConfigTopic, peer);
-      co_await Sleep(executor,
-                     node_->routes.Load() ? kRetryDelay : kStartupRetryDelay);
-    }
+millis store_watch::DelegationPollInterval(const followed_topic& topic) const {
+  if (!node_->HasRecords()) {
+    return kStartupPollInterval;
   }
+  return topic.lag.BehindSince() ? kBehindPollInterval
+                                 : kDelegationPollInterval;
 }
 
 // Ignores a page older than the known records: a read of the store may end
 // after a peer has given newer records, and would bring back instances that
 // have left.
 void store_watch::ApplyInstances(const keyed_page& page) {
-  next_instances_offset_ = std::max(page.next, node_->instances_offset);
+  instances_.next_offset = std::max(page.next, node_->instances_offset);
   if (page.next < node_->instances_offset) {
     return;
   }
@@ -229,14 +241,14 @@
   std::vector<instance_entry> listed;
   for (const keyed_record& record : page.records) {
     if (!record.value) {
-      instances_.Remove(record.key, now);
+      list_.Remove(record.key, now);
       continue;
     }
     try {
       const instance_entry entry = DecodeInstance(record.key, *record.value);
       listed.push_back(entry);
       if (!page.whole) {
-        instances_.Put(entry);
+        list_.Put(entry);
       }
     } catch (const codec_error& failure) {
       node_->log.Write("instance_entry_refused",
@@ -244,18 +256,16 @@
     }
   }
   if (page.whole) {
-    instances_.Replace(listed, now);
+    list_.Replace(listed, now);
   }
 }
 
 bool store_watch::PublishInstances(std::string_view source) {
   const millis now = boot_clock::Now();
-  const millis behind = instances_lag_.BehindFor(now);
-  instances_lag_.NoteKnown(node_->instances_offset);
-  if (!instances_.ApplyPendingRemovals(now)) {
+  if (!list_.ApplyPendingRemovals(now)) {
     return false;
   }
-  const std::vector<instance_entry> entries = instances_.Entries();
+  const std::vector<instance_entry> entries = list_.Entries();
   node_->selector.SetInstances(entries, now);
   size_t draining = 0;
   for (const instance_entry& entry : entries) {
@@ -264,128 +274,70 @@
   node_->log.Write("instances_changed",
                    {{"instances", entries.size()},
                     {"draining", draining},
-                    {"offset", next_instances_offset_.value_or(0)},
+                    {"offset", instances_.next_offset.value_or(0)},
                     {"source", source},
-                    {"behind_ms", behind.count()}});
+                    {"behind_ms", instances_.lag.BehindFor(now).count()}});
   return true;
 }
 
-awaitable<void> store_watch::ReadInstances() {
-  keyed_page page;
-  if (next_instances_offset_) {
-    const millis wait = InstancesReadWait();
-    page = co_await instance_client_.Read(
-        kInstanceTopic, *next_instances_offset_, wait, wait + kCallTimeout);
-  }
-  if (!next_instances_offset_ || page.forgotten) {
-    next_instances_offset_.reset();
-    page = co_await instance_client_.Newest(kInstanceTopic, kCallTimeout);
+// Tells the nodes for which this one reads the store.
+void store_watch::AnnounceChange(const followed_topic& topic) {
+  if (!IsConfig(topic)) {
+    node_->instances_changed_at = node_->instances_offset;
   }
-  ApplyInstances(page);
-  instances_.NoteStoreRead();
-  node_->instances_known = true;
+  node_->on_load_change(load_change::kRecordsChanged, 0);
 }
 
-millis store_watch::InstancesReadWait() const {
-  if (!instances_read_waits_) {
-    return millis(0);
+millis store_watch::ReadWait(const followed_topic& topic) const {
+  if (IsConfig(topic)) {
+    return kConfigWait;
   }
-  return instances_.HasPendingRemovals() ? kPendingRemovalWait : kInstancesWait;
+  return list_.HasPendingRemovals() ? kPendingRemovalWait : kInstancesWait;
 }
 
-millis store_watch::PauseAfterRead(bool reached) const {
-  if (!node_->instances_known) {
+millis store_watch::PauseAfterRead(const followed_topic& topic) const {
+  const bool is_known = IsConfig(topic) ? node_->routes.Load() != nullptr
+                                        : node_->instances_known;
+  if (!is_known && (!IsConfig(topic) || !topic.reached)) {
     return kStartupRetryDelay;
   }
-  if (instances_.HasPendingRemovals()) {
+  if (IsConfig(topic)) {
+    return topic.reached ? millis(0) : kStoreRetryDelay;
+  }
+  if (list_.HasPendingRemovals()) {
     return kPendingRemovalWait;
   }
-  return reached ? kInstancesPause : kRetryDelay;
+  return topic.reached ? kInstancesPause : kStoreRetryDelay;
 }
 
-awaitable<void> store_watch::FollowInstances() {
+awaitable<void> store_watch::Follow(followed_topic& topic) {
   const asio::any_io_executor executor = node_->context.get_executor();
   for (;;) {
-    if (DelegatesReads()) {
-      instances_read_waits_ = false;
-      co_await Sleep(executor, DelegationPollInterval());
+    if (DelegatesReads(topic)) {
+      topic.read_waits = false;
+      topic.was_delegated = true;
+      node_->reads_store = false;
+      co_await Sleep(executor, DelegationPollInterval(topic));
       continue;
     }
     std::string failed;
     try {
-      co_await ReadInstances();
+      co_await ReadStore(topic);
     } catch (const platform_error& failure) {
       failed = failure.what();
     }
-    instances_reached_ = failed.empty();
-    instances_read_waits_ = instances_reached_;
-    NoteStoreCall(failed.empty(), "instances", failed);
-    if (!failed.empty()) {
+    topic.reached = failed.empty();
+    topic.read_waits = topic.reached;
+    NoteStoreCall(topic.reached, IsConfig(topic) ? "config" : "instances",
+                  failed);
+    if (!topic.reached) {
       const endpoint peer = NextMirror();
-      co_await ReadFromPeer(kInstanceTopic, peer);
-    }
-    if (PublishInstances(kSourceStore)) {
-      node_->instances_changed_at = node_->instances_offset;
-      node_->on_load_change(load_change::kRecordsChanged, 0);
-    }
-    co_await Sleep(executor, PauseAfterRead(failed.empty()));
-  }
-}
-
-// Returns whether the record of this node is among them.
-awaitable<bool> store_watch::ListNodes(const node_record& self) {
-  const keyed_page page =
-      co_await node_client_.Newest(kNodeTopic, kCallTimeout);
-  bool found_self = false;
-  for (const keyed_record& record : page.records) {
-    if (!record.value) {
-      continue;
-    }
-    try {
-      const host_port peer = DecodeNode(record.key, *record.value).peer;
-      found_self = found_self || (record.key == self.node && peer == self.peer);
-      on_peer_(peer);
-    } catch (const codec_error& failure) {
-      node_->log.Write("node_record_refused",
-                       {{"record", record.key}, {"error", failure.what()}});
+      co_await ReadFromPeer(topic, peer);
     }
-  }
-  if (!nodes_listed_at_) {
-    nodes_listed_at_ = boot_clock::Now();
-  }
-  co_return found_self;
-}
-
-// A node that restarts finds its record in the store and does not write it
-// again. One that writes it reads the records of the others after that. If two
-// nodes start together, at least one of them therefore finds the record of the
-// other, which then learns of the first node from its load reports.
-awaitable<void> store_watch::Announce() {
-  const asio::any_io_executor executor = node_->context.get_executor();
-  node_record self;
-  self.node = node_->settings.node;
-  self.peer = {node_->settings.callers.host, node_->settings.peer_port};
-  const std::string value = Encode(self);
-  bool must_write = node_->settings.is_first_start;
-  bool is_written = false;
-  for (;;) {
-    std::string failed;
-    try {
-      if (must_write && !is_written) {
-        co_await node_client_.Put(kNodeTopic, self.node, value,
-                                  std::max(kCallTimeout, MaxListTime()));
-        is_written = true;
-      }
-      if (co_await ListNodes(self) || is_written) {
-        break;
-      }
-      must_write = true;
-      continue;
-    } catch (const platform_error& failure) {
-      failed = failure.what();
+    if (!IsConfig(topic) && PublishInstances(kSourceStore)) {
+      AnnounceChange(topic);
     }
-    node_->log.Write("announce_failed", {{"error", failed}});
-    co_await Sleep(executor, kRetryDelay);
+    co_await Sleep(executor, PauseAfterRead(topic));
   }
 }
 
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -1,7 +1,6 @@
 #ifndef FRONT_STORE_WATCH_H_
 #define FRONT_STORE_WATCH_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -9,7 +8,7 @@
 #include <string_view>
 
 #include "balance/instance_list.h"
-#include "balance/record_lag.h"
+#include "front/followed_topic.h"
 #include "front/front_node.h"
 #include "front/peer_ahead.h"
 #include "platform/awaitable.h"
@@ -26,59 +25,58 @@
 
   /// Starts to follow the store. Calls `on_peer` for each node found there.
   void Start(std::function<void(const host_port&)> on_peer);
-  /// Reads the records of a peer that knows newer ones than this node. Does
-  /// nothing while an earlier call is in progress.
+  /// Reads the records of a peer that knows newer ones than this node. If it
+  /// has not got them soon, this node reads the store itself.
   void CatchUp(const peer_ahead& peer);
 
  private:
-  void Spawn(awaitable<void> (store_watch::*run)());
-  awaitable<void> FollowConfig();
-  awaitable<void> FollowInstances();
+  void Spawn(std::function<awaitable<void>()> run);
+  /// Reads a topic at the store or has other nodes read it.
+  awaitable<void> Follow(followed_topic& topic);
   awaitable<void> Announce();
   awaitable<bool> ListNodes(const node_record& self);
-  awaitable<void> ReadFromPeerAhead();
+  awaitable<void> CatchUpTopic(followed_topic& topic);
   /// Waits before a read at a peer, so that not all nodes read at the same one.
-  awaitable<void> WaitForTurn();
-  awaitable<void> ReadFromPeer(std::string_view topic, const endpoint& remote);
-  [[nodiscard]] millis InstancesReadWait() const;
+  awaitable<void> WaitForTurn(followed_topic& topic);
+  awaitable<void> ReadFromPeer(followed_topic& topic, const endpoint& remote);
+  awaitable<void> ReadStore(followed_topic& topic);
+  [[nodiscard]] millis ReadWait(const followed_topic& topic) const;
   [[nodiscard]] endpoint NextMirror();
-  awaitable<void> ReadConfig();
-  awaitable<void> ReadInstances();
-  /// Returns whether a newer configuration came into force.
+  [[nodiscard]] bool IsConfig(const followed_topic& topic) const {
+    return &topic == &config_;
+  }
+  /// Returns the position of this node, or of a peer, in a topic.
+  [[nodiscard]] uint64_t PositionIn(const followed_topic& topic) const;
+  [[nodiscard]] uint64_t PositionOf(const peer_ahead& peer,
+                                    const followed_topic& topic) const;
+  /// Returns whether what callers are served by has changed.
+  bool Apply(followed_topic& topic, const keyed_page& page,
+             std::string_view source);
   bool ApplyConfig(const keyed_page& page, std::string_view source);
   void ApplyInstances(const keyed_page& page);
-  [[nodiscard]] bool DelegatesReads() const;
+  /// Returns false if the node has this version or a newer one.
+  bool PutConfigInForce(fleet_config config, std::string_view source);
+  bool PublishInstances(std::string_view source);
+  void AnnounceChange(const followed_topic& topic);
+  [[nodiscard]] bool DelegatesReads(const followed_topic& topic) const;
   /// Returns whether this node, which lacks records, waits for a peer's.
   [[nodiscard]] bool WaitsForPeers() const;
   /// Returns how long this node waits to be listed and to list the others.
   [[nodiscard]] millis MaxListTime() const;
   /// Returns how long it waits, once listed, for a peer's records.
   [[nodiscard]] millis MaxPeerWait() const;
-  [[nodiscard]] millis DelegationPollInterval() const;
-  /// Returns whether the instances have changed.
-  bool PublishInstances(std::string_view source);
-  [[nodiscard]] millis PauseAfterRead(bool reached) const;
-  void NoteStoreCall(bool reached, const std::string& call,
+  [[nodiscard]] millis DelegationPollInterval(
+      const followed_topic& topic) const;
+  [[nodiscard]] millis PauseAfterRead(const followed_topic& topic) const;
+  void NoteStoreCall(bool reached, std::string_view call,
                      const std::string& detail);
 
   const std::shared_ptr<front_node> node_;
-  store_client config_client_;
-  store_client instance_client_;
+  followed_topic config_;
+  followed_topic instances_;
   store_client node_client_;
-  std::optional<uint64_t> next_config_offset_;
-  std::optional<uint64_t> next_instances_offset_;
-  instance_list instances_;
-  record_lag config_lag_;
-  record_lag instances_lag_;
-  bool is_catching_up_ = false;
-  peer_ahead peer_ahead_;
-  /// Runs while this node waits for a reader of its own zone.
-  boost::asio::steady_timer own_zone_wait_;
-  bool store_reached_ = true;       ///< The last call to the store succeeded.
-  bool config_reached_ = true;      ///< The last read of the topic succeeded.
-  bool instances_reached_ = true;   ///< The last read of the topic succeeded.
-  bool config_read_waits_ = false;  ///< The next read waits for a change.
-  bool instances_read_waits_ = false;
+  instance_list list_;
+  bool store_reached_ = true;  ///< The last call to the store succeeded.
   size_t next_seed_ = 0;
   /// When the other nodes were read from the store.
   std::optional<millis> nodes_listed_at_;
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -40,38 +40,30 @@
 
 // The store may refuse this node and still serve others, so the records of a
 // peer may be newer than the records that this node knows.
-awaitable<void> store_watch::ReadFromPeer(std::string_view topic,
+awaitable<void> store_watch::ReadFromPeer(followed_topic& topic,
                                           const endpoint& remote) {
   if (remote.address.empty() ||
       remote.address == node_->settings.control.host) {
     co_return;
   }
-  const bool config = topic == kConfigTopic;
-  const std::optional<uint64_t> known =
-      config ? next_config_offset_ : next_instances_offset_;
+  const std::optional<uint64_t> known = topic.next_offset;
   try {
     store_client peer(node_->context.get_executor(), remote,
                       record_server::kPeer);
     const keyed_page page =
-        co_await peer.Newest(topic, kPeerCallTimeout, known);
-    if (config) {
-      ApplyConfig(page, remote.address);
-    } else {
-      ApplyInstances(page);
-      node_->instances_known = true;
-      PublishInstances(remote.address);
-    }
+        co_await peer.Newest(topic.name, kPeerCallTimeout, known);
+    Apply(topic, page, remote.address);
     node_->counters
         .Counter("peer_reads_total", "Reads of the store's records at a peer.")
         .Add();
   } catch (const platform_error& failure) {
-    const record_lag& lag = config ? config_lag_ : instances_lag_;
-    node_->log.Write("peer_read_failed",
-                     {{"peer", remote.address},
-                      {"topic", topic},
-                      {"error", failure.what()},
-                      {"known", known.value_or(0)},
-                      {"behind_ms", lag.BehindFor(boot_clock::Now()).count()}});
+    node_->log.Write(
+        "peer_read_failed",
+        {{"peer", remote.address},
+         {"topic", topic.name},
+         {"error", failure.what()},
+         {"known", known.value_or(0)},
+         {"behind_ms", topic.lag.BehindFor(boot_clock::Now()).count()}});
     node_->counters
         .Counter("peer_read_failures_total",
                  "Failed reads of the store's records at a peer.")
@@ -79,29 +71,37 @@
   }
 }
 
+// The topics are read beside each other: the configuration is large, and a
+// leaving instance must not wait for it.
 void store_watch::CatchUp(const peer_ahead& peer) {
   const millis now = boot_clock::Now();
-  config_lag_.NoteAnnounced(peer.config_version, now);
-  instances_lag_.NoteAnnounced(peer.instances_offset, now);
-  // While this node waits for its turn, the last peer that has the records is
-  // the one to read: it has had the fewest readers.
-  if (!is_catching_up_ || !peer.is_other_zone || peer_ahead_.is_other_zone) {
-    peer_ahead_ = peer;
-  }
-  if (!peer.is_other_zone) {
-    own_zone_wait_.cancel();
-  }
-  if (!is_catching_up_) {
-    is_catching_up_ = true;
-    Spawn(&store_watch::ReadFromPeerAhead);
+  for (followed_topic* topic : {&config_, &instances_}) {
+    const uint64_t position = PositionOf(peer, *topic);
+    if (position <= PositionIn(*topic)) {
+      continue;
+    }
+    topic->lag.NoteAnnounced(position, now);
+    // While this node waits for its turn, the last peer that has the records is
+    // the one to read: it has had the fewest readers.
+    if (!topic->is_catching_up || !peer.is_other_zone ||
+        topic->source.is_other_zone) {
+      topic->source = peer;
+    }
+    if (!peer.is_other_zone) {
+      topic->own_zone_wait.cancel();
+    }
+    if (!topic->is_catching_up) {
+      topic->is_catching_up = true;
+      Spawn([this, topic] { return CatchUpTopic(*topic); });
+    }
   }
 }
 
-awaitable<void> store_watch::WaitForTurn() {
-  if (peer_ahead_.is_other_zone) {
+awaitable<void> store_watch::WaitForTurn(followed_topic& topic) {
+  if (topic.source.is_other_zone) {
     boost::system::error_code cancelled;  // a peer of this zone has them
-    own_zone_wait_.expires_after(ToChrono(kOtherZoneDelay));
-    co_await own_zone_wait_.async_wait(
+    topic.own_zone_wait.expires_after(ToChrono(kOtherZoneDelay));
+    co_await topic.own_zone_wait.async_wait(
         asio::redirect_error(asio::use_awaitable, cancelled));
   }
   const auto spread = static_cast<uint64_t>(
@@ -112,31 +112,24 @@
 
 // Traffic between zones costs money, so a node waits for the readers of its own
 // zone before it reads from another. A restarted node has callers that wait.
-awaitable<void> store_watch::ReadFromPeerAhead() {
+awaitable<void> store_watch::CatchUpTopic(followed_topic& topic) {
   const asio::any_io_executor executor = node_->context.get_executor();
   if (node_->HasRecords() || node_->settings.is_first_start) {
-    co_await WaitForTurn();
+    co_await WaitForTurn(topic);
   }
-  const peer_ahead peer = peer_ahead_;
+  const peer_ahead peer = topic.source;
+  const uint64_t position = PositionOf(peer, topic);
   const endpoint remote{peer.address, node_->settings.control.port};
-  const bool config_changed = peer.config_version > node_->ConfigVersion();
-  const bool instances_changed =
-      peer.instances_offset > node_->instances_offset;
-  if (config_changed) {
-    co_await ReadFromPeer(kConfigTopic, remote);
-  }
-  if (instances_changed) {
-    co_await ReadFromPeer(kInstanceTopic, remote);
-  }
-  if (node_->instances_offset >= peer.instances_offset) {
-    node_->instances_changed_at =
-        std::max(node_->instances_changed_at, peer.instances_offset);
-  }
-  if (config_changed || instances_changed) {
+  if (position > PositionIn(topic)) {
+    co_await ReadFromPeer(topic, remote);
+    if (!IsConfig(topic) && node_->instances_offset >= position) {
+      node_->instances_changed_at =
+          std::max(node_->instances_changed_at, position);
+    }
     node_->on_load_change(load_change::kCaughtUp, 0);
   }
   co_await Sleep(executor, kCatchUpPause);
-  is_catching_up_ = false;
+  topic.is_catching_up = false;
 }
 
 }  // namespace peridotarch
