A repeated refusal behind a broken head is no promise

Callers saw: a request that may run once ran at a second instance (TWICE), or was answered 503 "not run" after an instance had run it (REFUSED).

Cause: an instance that stops in the head of its answer and then writes an earlier refusal makes one head of both.

X-Not-Executed counts beside a 4xx or 503; a 2xx with it is broken and may have run.

--- a/balance/answer_classification.cc
+++ b/balance/answer_classification.cc
@@ -4,6 +4,7 @@
 
 namespace {
 
+constexpr int kClientErrorClass = 4;  // 4xx
 constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
@@ -19,6 +20,13 @@
          status == kTooManyRequests || status == kUnavailable;
 }
 
+// An instance that rejects a request answers with one of these. A success, an
+// error in the work or a timeout is an answer of a request that ran, whatever
+// else its head states.
+bool MayRejectRequest(int status) {
+  return status / 100 == kClientErrorClass || status == kUnavailable;
+}
+
 answer_classification NotRun(int status) {
   answer_classification result;
   result.run_verdict = verdict::kNotRun;
@@ -42,12 +50,13 @@
 }  // namespace
 
 answer_classification ClassifyAnswer(const answer_facts& facts) {
-  if (facts.not_executed || facts.status == kMisdirected) {
+  if ((facts.not_executed && MayRejectRequest(facts.status)) ||
+      facts.status == kMisdirected) {
     return NotRun(facts.status);
   }
   answer_classification result;
   if (IsSuccess(facts.status) &&
-      (!facts.has_digest || facts.has_content_encoding)) {
+      (!facts.has_digest || facts.has_content_encoding || facts.not_executed)) {
     result.outcome = attempt_outcome::kBroken;
     result.run_verdict = verdict::kMayHaveRun;
     return result;
--- a/tests/balance/answer_classification_test.cc
+++ b/tests/balance/answer_classification_test.cc
@@ -26,6 +26,16 @@
   CHECK(Classify(503, true, false).run_verdict == verdict::kRan);
 }
 
+// A request that had run was repeated, since its success carried the header of
+// another answer.
+TEST_CASE("stray refusal: a status of a request that ran is no refusal") {
+  CHECK(Classify(200, true, true).run_verdict == verdict::kMayHaveRun);
+  CHECK_FALSE(Classify(200, true, true).is_deliverable);
+  CHECK(Classify(500, true, true).run_verdict != verdict::kNotRun);
+  CHECK(Classify(504, true, true).run_verdict != verdict::kNotRun);
+  CHECK(Classify(400, false, true).run_verdict == verdict::kNotRun);
+}
+
 TEST_CASE(
     "a status that promises that the request did not run is not delivered "
     "for a request that ran") {
