An answer in an unknown transfer coding is malformed

The caller of the test could not read it and got no answer within 2 s.

Cause: beast decodes "chunked" and reads a body in any other coding to the end of the connection; the answer was then passed on with a length beside the coding.

Change: an answer with a Transfer-Encoding that the parser does not decode ends the attempt as malformed: 502, or a retry of an idempotent request.

Ruled out: the reported fault, an answer that ends in its head and is delivered as whole.

--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -74,6 +74,14 @@
                     });
 }
 
+// Returns whether the answer's body is in another coding than "chunked". Its
+// end is then unknown, and the parser would take the coded bytes for the body.
+template <typename Parser>
+bool HasUnknownCoding(const Parser& parser) {
+  return parser.get().count(http::field::transfer_encoding) != 0 &&
+         !parser.chunked();
+}
+
 // Reads the head of the next answer on the connection, past informational (1xx)
 // ones.
 template <typename Parser>
@@ -88,7 +96,13 @@
     co_await http::async_read_header(
         connection.stream, connection.buffer, *parser,
         asio::redirect_error(asio::use_awaitable, failure));
-    if (failure || parser->get().result_int() / 100 != kInformationalClass) {
+    if (failure) {
+      co_return failure;
+    }
+    if (HasUnknownCoding(*parser)) {
+      break;
+    }
+    if (parser->get().result_int() / 100 != kInformationalClass) {
       co_return failure;
     }
   }
