An instance gets the time left when its request is written

Cause: X-Deadline-Ms was computed when the instance was chosen. An instance counts it from the moment at which it reads the request, so the time of the connection (up to 300 ms) and of slow turns of the event loop was added to its work. The answer's bound is 250 ms after that of the work.

Evidence: tests/front/shutdown_test.cc, "an instance gets no more time than is left when its request is written", with a slow turn of 200 ms between choice and connection. Before the change the instance's work ended 180 ms beyond the bound with its tolerance of 20 ms: 1840135 <= 1839955.

Change: the time is set right before the request is written. If none is left by then, nothing is sent and the request has not run.

After: the case passes.

--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -146,8 +146,8 @@
   const instance_key key = attempt.choice.key;
   exchange_params params;
   params.instance = attempt.choice.instance;
-  params.request = ToInstanceRequest(request_, params.instance,
-                                     work_deadline_ - attempt_started_at);
+  params.request = ToInstanceRequest(request_, params.instance);
+  params.work_until = work_deadline_;
   params.id = terms_.id;
   params.time_left = answer_deadline_ - attempt_started_at;
   params.max_idle_time = MaxIdleTime();
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -209,6 +209,12 @@
       co_return result;
     }
   }
+  const millis work_time = params.work_until - boot_clock::Now();
+  if (work_time <= millis(0)) {
+    result.summary.ended = attempt_end_cause::kTimeout;
+    co_return result;
+  }
+  SetTimeLeft(params.request, work_time);
   control.connection = connection;
   connection->send_started = false;
   connection->stream.expires_at(deadline);
--- a/front/connection_pool.h
+++ b/front/connection_pool.h
@@ -38,6 +38,7 @@
   instance_entry instance;
   http_request request;
   std::string id;        ///< Request id, which the answer must carry.
+  millis work_until;     ///< When the instance stops work, by the boot clock.
   millis time_left;      ///< A later answer is of no use.
   millis max_idle_time;  ///< A connection idle for longer is not reused.
 };
--- a/tests/front/endless_answer_test.cc
+++ b/tests/front/endless_answer_test.cc
@@ -156,6 +156,7 @@
   params.instance = instance.entry();
   params.request = http_request(verb::put, "/pay/1", 11);
   params.id = "r1";
+  params.work_until = boot_clock::Now() + millis(1'000);
   params.time_left = millis(2);
   exchange_control control;
   std::optional<exchange_result> result;
--- a/tests/front/shutdown_test.cc
+++ b/tests/front/shutdown_test.cc
@@ -4,10 +4,13 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <cstdio>
 #include <functional>
 #include <string>
+#include <thread>
 
+#include "balance/request_deadlines.h"
 #include "core/error.h"
 #include "core/invariant.h"
 #include "front_world.h"
@@ -107,6 +110,38 @@
   }
 }
 
+// A request that a node took 3.6 s after SIGTERM was answered with the node's
+// own 504 while its instance was at work: the time left had been computed
+// before the connection was made.
+TEST_CASE(
+    "rolling restarts: an instance gets no more time than is left when its "
+    "request is written") {
+  front_world world;
+  world.AddRoute("/pay/", false);
+  millis works_until;
+  world.AddInstance([&works_until](const http_request& request) {
+    works_until = boot_clock::Now() +
+                  millis(std::stoi(std::string(request["X-Deadline-Ms"])));
+    return InstanceAnswer(RequestId(request), 200, "body",
+                          "X-Response-Seal: 1\r\n");
+  });
+  world.node->draining = true;
+  world.node->stops_at = boot_clock::Now() + millis(1'000);
+  constexpr millis kClockTolerance(20);
+  const millis allowed_until =
+      CapDeadlines(world.node->stops_at,
+                   DeadlinesFor(boot_clock::Now(), millis(1'000), millis(900)))
+          .work_until;
+  // The loop has a slow turn between the choice and the connection.
+  world.node->on_load_change = [](load_change change, instance_key) {
+    if (change == load_change::kSlotTaken) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+  };
+  CHECK(world.SendRequest(verb::put, "/pay/1").result_int() == 200);
+  CHECK(works_until.count() <= allowed_until.count() + kClockTolerance.count());
+}
+
 // Returns what `action` writes to standard output.
 std::string OutputOf(const std::function<void()>& action) {
   std::FILE* const file = std::tmpfile();
--- a/tests/front/stray_refusal_test.cc
+++ b/tests/front/stray_refusal_test.cc
@@ -191,6 +191,7 @@
     params.request.body() = std::string(16 << 20, 'x');
     params.request.prepare_payload();
     params.id = "r2";
+    params.work_until = boot_clock::Now() + millis(1'000);
     params.time_left = millis(200);
     exchange_control control;
     std::optional<exchange_result> result;
