--- a/inner/forwarded_call.cc
+++ b/inner/forwarded_call.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/error.h"
+#include "inner/json_number.h"
 
 namespace peridotarch {
 
@@ -18,11 +19,11 @@
     const auto fields = nlohmann::json::parse(text);
     forwarded_call call;
     call.service = fields.at(0).get<std::string>();
-    call.shard = fields.at(1).get<int>();
+    call.shard = IntegerFrom<int>(fields.at(1), "shard");
     call.idempotent = fields.at(2).get<bool>();
-    call.retries = fields.at(3).get<int>();
+    call.retries = IntegerFrom<int>(fields.at(3), "retries");
     call.key = fields.at(4).get<std::string>();
-    call.left = millis(fields.at(5).get<int64_t>());
+    call.left = millis(IntegerFrom<int64_t>(fields.at(5), "left"));
     call.zone = fields.at(6).get<std::string>();
     call.id = fields.at(7).get<std::string>();
     call.route = fields.at(8).get<std::string>();
--- a/inner/report.cc
+++ b/inner/report.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/error.h"
+#include "inner/json_number.h"
 
 namespace peridotarch {
 
@@ -26,8 +27,8 @@
 }
 
 hybrid_time HybridTimeFrom(const json& value) {
-  return {millis(value.at("wall_ms").get<int64_t>()),
-          value.at("counter").get<uint32_t>()};
+  return {millis(IntegerAt<int64_t>(value, "wall_ms")),
+          IntegerAt<uint32_t>(value, "counter")};
 }
 
 json ToJson(const instance_status& of) {
@@ -42,8 +43,8 @@
   of.zone = value.at("zone").get<std::string>();
   of.state = EnumFrom<instance_state>(value.at("state"));
   of.reason = value.at("reason").get<std::string>();
-  of.slots = value.at("slots").get<int>();
-  of.busy = value.at("busy").get<int>();
+  of.slots = IntegerAt<int>(value, "slots");
+  of.busy = IntegerAt<int>(value, "busy");
   return of;
 }
 
@@ -60,10 +61,10 @@
 shard_status ShardFrom(const json& value) {
   shard_status of;
   of.service = value.at("service").get<std::string>();
-  of.shard = value.at("shard").get<int>();
-  of.shards = value.at("shards").get<int>();
-  of.floor = value.at("floor").get<int>();
-  of.queued = value.at("queued").get<int>();
+  of.shard = IntegerAt<int>(value, "shard");
+  of.shards = IntegerAt<int>(value, "shards");
+  of.floor = IntegerAt<int>(value, "floor");
+  of.queued = IntegerAt<int>(value, "queued");
   for (const json& each : value.at("instances")) {
     of.instances.push_back(InstanceFrom(each));
   }
@@ -74,11 +75,11 @@
   node_status of;
   of.node = value.at("node").get<std::string>();
   of.zone = value.at("zone").get<std::string>();
-  of.incarnation = value.at("incarnation").get<uint64_t>();
+  of.incarnation = IntegerAt<uint64_t>(value, "incarnation");
   of.at = HybridTimeFrom(value.at("at"));
-  of.revision = value.at("revision").get<uint64_t>();
+  of.revision = IntegerAt<uint64_t>(value, "revision");
   of.digest = value.at("digest").get<std::string>();
-  of.members = value.at("members").get<int>();
+  of.members = IntegerAt<int>(value, "members");
   of.doubts_itself = value.at("doubts_itself").get<bool>();
   of.suspects = value.at("suspects").get<std::vector<std::string>>();
   of.log_reachable = value.at("log_reachable").get<bool>();
@@ -143,7 +144,7 @@
 
 timeline_query DecodeTimelineQuery(const std::string& json) {
   return Decoded(json, [](const nlohmann::json& value) {
-    return timeline_query{millis(value.at("since_ms").get<int64_t>())};
+    return timeline_query{millis(IntegerAt<int64_t>(value, "since_ms"))};
   });
 }
 
