Base64 of padding alone is malformed

What callers saw: nothing yet. A record of the store or of a peer whose value is "====" ended all later reads of that topic at the node that read it.

Cause: the library decodes padding at any place and skips blanks. The padding was then counted from the first "=", which is more than the decoded length, so the result was resized to a negative size. std::length_error is no codec_error: it left the coroutine that follows the store.

--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -21,6 +21,12 @@
   }
   REQUIRE_THROWS_AS(FromBase64("Zg="), codec_error);
   REQUIRE_THROWS_AS(FromBase64("Z?=="), codec_error);
+  // Padding alone threw std::length_error, which ended the reads of the store.
+  for (const char* bad :
+       {"====", "Z===", "Z=g=", "=Zg=", "Zg==Zg==", "    Zg==", "Zg==    ",
+        "Zm9v\n\n\n\n", "Zm\x39\xff"}) {
+    REQUIRE_THROWS_AS(FromBase64(bad), codec_error);
+  }
 }
 
 TEST_CASE("a page of the log decodes, and a malformed one throws") {
