--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -232,6 +232,7 @@
     } catch (const codec_error& failure) {
       node_->log.Write("instance_entry_refused",
                        {{"instance", record.key}, {"error", failure.what()}});
+      instances_.Remove(record.key, now);  // what it had replaced is gone
     }
   }
   if (page.whole) {
--- a/tests/platform/odd_records_test.cc
+++ b/tests/platform/odd_records_test.cc
@@ -206,5 +206,20 @@
   CHECK(DecodeInstance("i", twice).slots == 3);
 }
 
+// The error text carried the whole value, and the log line was torn.
+TEST_CASE("odd entry: the error for a long value is short") {
+  const std::string value(256 << 10, 'x');
+  for (const std::string& record :
+       {value, '"' + value, WithField(kEntry, "/state", '"' + value + '"'),
+        WithField(kEntry, "/address", '"' + value + '"')}) {
+    try {
+      DecodeInstance("i", record);
+      FAIL("the entry was taken");
+    } catch (const codec_error& refused) {
+      CHECK(std::string(refused.what()).size() < 400);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace peridotarch
