Keys that are not readable name nothing, and mirrors leave them out

What callers saw: one entry whose key is no text, and half of the nodes sent requests on to instances that had left, then refused all with 503.

Cause: the mirror put the key into JSON, whose dump throws for bytes that are no UTF-8, and nothing caught it: each read of the instances at that node ended without an answer, as long as the entry was among its values or changes. Beside it, the same entry had two spellings: its bytes in the store's raw page, U+FFFD in the page in JSON, so that it could name an instance at some nodes only. An empty key named an instance, one with a line end would have stood in the head of requests, and a key with a blank or "&" at the end of a page broke the call for the next page.

--- a/tests/front/odd_records_test.cc
+++ b/tests/front/odd_records_test.cc
@@ -196,5 +196,82 @@
   CHECK(following.Knows("i-2"));
 }
 
+// The call for the next page was malformed, so the store refused it each time.
+TEST_CASE("odd key: the call for the next page names it in full") {
+  following_node following;
+  std::vector<std::string> targets;
+  raw_server store(following.world.context, [&](const http_request& request) {
+    const std::string target(request.target());
+    if (target.find("keyed.servers") == std::string::npos) {
+      return following.store.Answer(request);
+    }
+    targets.push_back(target);
+    const bool is_first = target.find("after=") == std::string::npos;
+    return OkAnswer(nlohmann::json{
+        {"items",
+         {{{"key", is_first ? "a b&\xc3\xa4?" : "i-1"},
+           {"value", ToBase64(is_first ? "{}" : kEntry)}}}},
+        {"has_more", is_first},
+        {"end_offset",
+         7}}.dump());
+  });
+  store_client client(following.world.context.get_executor(),
+                      {"127.0.0.1", store.port()});
+  std::optional<keyed_page> page;
+  boost::asio::co_spawn(
+      following.world.context,
+      [&]() -> awaitable<void> {
+        page = co_await client.Newest(kInstanceTopic, millis(700));
+      },
+      boost::asio::detached);
+  following.world.RunUntil([&] { return page.has_value(); });
+  REQUIRE(page.has_value());
+  CHECK(page->records.size() == 2);
+  REQUIRE(targets.size() == 2);
+  CHECK(targets[1].ends_with("&after=a%20b%26%C3%A4%3F"));
+}
+
+// The mirror threw for the key, and its readers missed all changes of the
+// instances as long as the entry was there.
+TEST_CASE("odd key: the mirror leaves it out, and it names no instance") {
+  store_mirror mirror;
+  keyed_page page;
+  page.whole = true;
+  page.next = 3;
+  const std::string unreadable(kUnreadableKey, 5);
+  page.records = {{"i-1", kEntry}, {unreadable, kEntry}};
+  mirror.Take(kInstanceTopic, page);
+  page.whole = false;
+  page.next = 5;
+  page.records = {{unreadable, "{}"}, {"i-2", kEntry}};
+  mirror.Take(kInstanceTopic, page);
+  for (const std::string query : {"", "&known=3"}) {
+    const std::string body =
+        mirror.Answer("/-/log-newest?part=0&topic=keyed.servers" + query)
+            .body();
+    for (const auto& item : nlohmann::json::parse(body).at("items")) {
+      CHECK(item.at("key").get<std::string>().starts_with("i-"));
+      CHECK(item.at("key") != unreadable);
+    }
+    CHECK(body.find("i-2") != std::string::npos);
+  }
+}
+
+// One entry had two spellings, one in each form of the store's pages.
+TEST_CASE("odd key: no form of a page makes it an instance") {
+  following_node following;
+  following.store.records = {{"", kEntry},
+                             {kReplacedKey, kEntry},
+                             {"i\r\nX: 1", kEntry},
+                             {"i-1", kEntry}};
+  following.Start();
+  following.RunUntilKnown("i-1");
+  CHECK(following.node->selector.size() == 1);
+  following.store.changes = {
+      {"", kEntry}, {std::string(kUnreadableKey, 5), kEntry}, {"i-2", kEntry}};
+  following.RunUntilKnown("i-2");
+  CHECK(following.node->selector.size() == 2);
+}
+
 }  // namespace
 }  // namespace peridotarch
