Exceptions that leave a task are logged and counted, and loops go on

What callers saw: nothing at the time. A node whose loop had ended by an exception followed its list, or accepted, or reported no longer, until it was started again; no line and no count told of it.

Cause: all coroutines that nobody awaits were started with asio::detached, which drops an exception.

Change: SpawnLogged (proxy/spawn.h) is the one way to start them in front/ and proxy/ (platform/ starts none): an exception writes task_failed with the task's name and counts peridotarch_task_failures_total{task}. SpawnLoop starts the long-lived ones and starts them again a second later: the reads of the configuration and the instances, the announcement, reads at a peer, the receipt of reports, heartbeats, the accept loops, and those of the product's own daemon. No asio::detached is left in these packages.

Not covered: a task of one request that ends so leaves its caller without an answer until the connection's own timeout.

--- a/core/metrics.cc
+++ b/core/metrics.cc
@@ -5,6 +5,7 @@
 
 #include "core/error.h"
 #include "core/invariant.h"
+#include "core/task_failure.h"
 
 namespace peridotarch {
 
@@ -93,6 +94,16 @@
   return text;
 }
 
+std::string TaskFailureLines() {
+  const std::string name = std::string(kPrefix) + "task_failures_total";
+  std::string text =
+      Header(name, "Exceptions that left a task, by task.", "counter");
+  for (const auto& [task, count] : TaskFailures()) {
+    text += Line(name, ToLabels({{"task", task}}), std::to_string(count));
+  }
+  return text;
+}
+
 template <typename Metric>
 Metric& FindOrAdd(std::map<std::string, std::unique_ptr<Metric>>& members,
                   const std::vector<metric_label>& labels) {
@@ -144,7 +155,7 @@
   for (const auto& [name, family] : families_) {
     text += ToText(std::string(kPrefix) + name, family);
   }
-  return text + BreachLines();
+  return text + BreachLines() + TaskFailureLines();
 }
 
 std::string metrics::ToText(const std::string& name, const family& of) {
--- a/front/caller_session.cc
+++ b/front/caller_session.cc
@@ -1,8 +1,6 @@
 #include "front/caller_session.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -10,6 +8,7 @@
 #include "front/caller_request.h"
 #include "front/pipelined_request.h"
 #include "platform/call_wire.h"
+#include "proxy/spawn.h"
 
 namespace peridotarch {
 
@@ -171,10 +170,9 @@
         return;
       }
       one->is_started = true;
-      asio::co_spawn(
-          node_->context,
-          [self = shared_from_this(), one]() { return self->ServeOne(one); },
-          asio::detached);
+      SpawnLogged(
+          node_->context, "request",
+          [self = shared_from_this(), one]() { return self->ServeOne(one); });
     }
     if (!one->is_idempotent) {
       return;
@@ -195,10 +193,8 @@
 void caller_session::WriteReadyAnswers() {
   if (!is_writing_ && !queue_.empty() && queue_.front()->answer) {
     is_writing_ = true;
-    asio::co_spawn(
-        node_->context,
-        [self = shared_from_this()]() { return self->WriteAnswers(); },
-        asio::detached);
+    SpawnLogged(node_->context, "answers",
+                [self = shared_from_this()]() { return self->WriteAnswers(); });
   }
 }
 
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -1,8 +1,6 @@
 #include "front/front_daemon.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -11,10 +9,12 @@
 #include <iterator>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <vector>
 
 #include "core/error.h"
 #include "core/invariant.h"
+#include "core/task_failure.h"
 #include "front/caller_session.h"
 #include "front/front_node.h"
 #include "front/peer_reporter.h"
@@ -23,6 +23,7 @@
 #include "platform/call_wire.h"
 #include "proxy/executor.h"
 #include "proxy/listener.h"
+#include "proxy/spawn.h"
 
 namespace peridotarch {
 
@@ -64,7 +65,7 @@
     socket.set_option(tcp::no_delay(true), failure);
     auto session =
         handle_connection(boost::beast::tcp_stream(std::move(socket)));
-    asio::co_spawn(executor, std::move(session), asio::detached);
+    SpawnLogged(executor, "connection", std::move(session));
   }
 }
 
@@ -208,6 +209,12 @@
   const auto seed = static_cast<uint64_t>(wall_clock::Now().count());
   const auto node = std::make_shared<front_node>(context, settings,
                                                  seed ^ KeyOf(settings.node));
+  SetTaskFailureLog([weak = std::weak_ptr(node)](std::string_view task,
+                                                 std::string_view what) {
+    if (const auto alive = weak.lock()) {
+      alive->log.Write("task_failed", {{"task", task}, {"error", what}});
+    }
+  });
   LogSettings(*node, "started");
   std::signal(SIGPIPE, SIG_IGN);
   tcp::acceptor callers = Listen(context, settings.callers, kBacklog);
@@ -220,11 +227,15 @@
   asio::signal_set stop(context, SIGTERM, SIGINT);
   stop.async_wait([&](const error_code& failure, int) {
     if (!failure) {
-      asio::co_spawn(context, ShutDown(node, peers), asio::detached);
+      SpawnLogged(context, "shutdown", ShutDown(node, peers));
     }
   });
-  asio::co_spawn(context, ReloadOnHangUp(node, settings_path), asio::detached);
-  asio::co_spawn(context, ReloadOnChange(node, settings_path), asio::detached);
+  SpawnLoop(context, "reload_on_hangup", [node, settings_path] {
+    return ReloadOnHangUp(node, settings_path);
+  });
+  SpawnLoop(context, "reload_on_change", [node, settings_path] {
+    return ReloadOnChange(node, settings_path);
+  });
   peers->Start([store](const peer_ahead& peer) { store->CatchUp(peer); });
   store->Start([peers](const host_port& peer) { peers->AddPeer(peer); });
   const connection_handler serve_admin =
@@ -235,14 +246,14 @@
       [node](boost::beast::tcp_stream stream) {
         return ServeCallerConnection(node, std::move(stream));
       };
-  asio::co_spawn(context, AcceptConnections(ready, serve_admin),
-                 asio::detached);
-  asio::co_spawn(context, AcceptConnections(metrics, serve_admin),
-                 asio::detached);
-  asio::co_spawn(context, AcceptConnections(control, serve_admin),
-                 asio::detached);
-  asio::co_spawn(context, AcceptConnections(callers, serve_caller),
-                 asio::detached);
+  for (tcp::acceptor* acceptor : {&ready, &metrics, &control}) {
+    SpawnLoop(context, "accept", [acceptor, serve_admin] {
+      return AcceptConnections(*acceptor, serve_admin);
+    });
+  }
+  SpawnLoop(context, "accept", [&callers, serve_caller] {
+    return AcceptConnections(callers, serve_caller);
+  });
   context.run();
 }
 
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -14,6 +12,7 @@
 #include "core/error.h"
 #include "platform/endpoint.h"
 #include "proxy/executor.h"
+#include "proxy/spawn.h"
 
 namespace peridotarch {
 
@@ -66,11 +65,10 @@
   node_->find_store_reader = [this] { return FindStoreReader(); };
   // The coroutines keep this object alive until the loop has ended.
   const auto self = shared_from_this();
-  asio::co_spawn(
-      node_->context, [self]() { return self->Receive(); }, asio::detached);
-  asio::co_spawn(
-      node_->context, [self]() { return self->SendHeartbeats(); },
-      asio::detached);
+  SpawnLoop(node_->context, "receive_reports",
+            [self]() { return self->Receive(); });
+  SpawnLoop(node_->context, "heartbeats",
+            [self]() { return self->SendHeartbeats(); });
 }
 
 void peer_reporter::AddPeer(const host_port& address) {
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -1,14 +1,13 @@
 #include "front/store_watch.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "core/error.h"
 #include "core/invariant.h"
 #include "proxy/executor.h"
+#include "proxy/spawn.h"
 
 namespace peridotarch {
 
@@ -57,10 +56,9 @@
 
 // The coroutine keeps this object alive until the loop has ended.
 void store_watch::Spawn(awaitable<void> (store_watch::*run)()) {
-  asio::co_spawn(
-      node_->context,
-      [self = shared_from_this(), run]() { return (self.get()->*run)(); },
-      asio::detached);
+  SpawnLoop(node_->context, "store_watch", [self = shared_from_this(), run]() {
+    return (self.get()->*run)();
+  });
 }
 
 void store_watch::Start(std::function<void(const host_port&)> on_peer) {
--- a/proxy/claim_log.cc
+++ b/proxy/claim_log.cc
@@ -1,11 +1,11 @@
 #include "proxy/claim_log.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
 #include "core/error.h"
+#include "proxy/spawn.h"
 
 namespace peridotarch {
 
@@ -29,10 +29,8 @@
 
 void claim_log::Start() {
   const auto self = shared_from_this();
-  asio::co_spawn(
-      strand_, [self] { return self->ReadStream(); }, asio::detached);
-  asio::co_spawn(
-      strand_, [self] { return self->TickRegularly(); }, asio::detached);
+  SpawnLoop(strand_, "claim_reads", [self] { return self->ReadStream(); });
+  SpawnLoop(strand_, "claim_ticks", [self] { return self->TickRegularly(); });
 }
 
 awaitable<claim_outcome> claim_log::Claim(request_key key, millis left) {
@@ -126,12 +124,10 @@
     }
   }
   if (step.append) {
-    asio::co_spawn(
-        strand_,
-        [self = shared_from_this(), record = std::move(*step.append)] {
-          return self->Append(record);
-        },
-        asio::detached);
+    SpawnLogged(strand_, "claim_append",
+                [self = shared_from_this(), record = std::move(*step.append)] {
+                  return self->Append(record);
+                });
   }
 }
 
--- a/proxy/control.cc
+++ b/proxy/control.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <nlohmann/json.hpp>
@@ -20,6 +19,7 @@
 #include "proxy/node.h"
 #include "proxy/owner_shard.h"
 #include "proxy/peer.h"
+#include "proxy/spawn.h"
 #include "request/shard_map.h"
 
 namespace peridotarch {
@@ -87,12 +87,12 @@
   }
 }
 
-// Runs a member coroutine of `self` on its strand, detached.
+// Runs a member coroutine of `self` on its strand, without waiting for it.
 template <typename Self, typename Make>
-void Spawn(const strand& on, std::shared_ptr<Self> self, Make make) {
-  asio::co_spawn(
-      on, [self, make]() -> awaitable<void> { co_await make(*self); },
-      asio::detached);
+void Spawn(const strand& on, const std::string& task,
+           std::shared_ptr<Self> self, Make make) {
+  SpawnLogged(on, task,
+              [self, make]() -> awaitable<void> { co_await make(*self); });
 }
 
 }  // namespace
@@ -116,13 +116,14 @@
 void control::Start() {
   const auto self = shared_from_this();
   SetPort();
-  Spawn(strand_, self, [](control& me) { return me.TickReplica(); });
-  Spawn(strand_, self, [](control& me) { return me.TickMembership(); });
-  Spawn(strand_, self, [](control& me) { return me.PollHosts(); });
-  Spawn(strand_, self, [](control& me) { return me.ReadLedger(); });
-  Spawn(strand_, self, [](control& me) {
-    return me.gossip_.Receive(
-        [&me](const gossip_message& message) { me.OnGossip(message); });
+  SpawnLoop(strand_, "replica_ticks", [self] { return self->TickReplica(); });
+  SpawnLoop(strand_, "membership_ticks",
+            [self] { return self->TickMembership(); });
+  SpawnLoop(strand_, "host_reads", [self] { return self->PollHosts(); });
+  SpawnLoop(strand_, "ledger_reads", [self] { return self->ReadLedger(); });
+  SpawnLoop(strand_, "receive_gossip", [self] {
+    return self->gossip_.Receive(
+        [self](const gossip_message& message) { self->OnGossip(message); });
   });
 }
 
@@ -286,12 +287,12 @@
 }
 
 void control::Do(read_log action) {
-  Spawn(strand_, shared_from_this(),
+  Spawn(strand_, "read_config", shared_from_this(),
         [action](control& me) { return me.ReadConfig(action); });
 }
 
 void control::Do(fetch_from_peer action) {
-  Spawn(strand_, shared_from_this(),
+  Spawn(strand_, "fetch_config", shared_from_this(),
         [action](control& me) { return me.FetchConfig(action); });
 }
 
@@ -309,7 +310,7 @@
 }
 
 void control::Do(append_record action) {
-  Spawn(strand_, shared_from_this(),
+  Spawn(strand_, "append_config", shared_from_this(),
         [action](control& me) { return me.AppendConfig(action); });
 }
 
@@ -418,7 +419,7 @@
   membership_.SetSelfDoubt(doubts);
   node_->doubts.store(membership_.DoubtsItself());
   for (outgoing_gossip& asked : membership_.TakeOpinionRequests()) {
-    Spawn(strand_, shared_from_this(),
+    Spawn(strand_, "answer_opinion", shared_from_this(),
           [asked](control& me) { return me.AnswerOpinion(asked); });
   }
 }
@@ -427,7 +428,7 @@
 void control::SetPort() {
   const auto self = shared_from_this();
   node_->port.append_ejections = [self](std::string record) {
-    Spawn(self->strand_, self,
+    Spawn(self->strand_, "append_ledger", self,
           [record](control& me) { return me.AppendLedger(record); });
   };
   node_->port.ask_opinions = [self](opinion_note note) {
--- a/proxy/daemon.cc
+++ b/proxy/daemon.cc
@@ -3,8 +3,6 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <functional>
@@ -14,11 +12,13 @@
 #include <vector>
 
 #include "core/invariant.h"
+#include "core/task_failure.h"
 #include "proxy/caller_session.h"
 #include "proxy/control.h"
 #include "proxy/listener.h"
 #include "proxy/node.h"
 #include "proxy/peer_session.h"
+#include "proxy/spawn.h"
 
 namespace peridotarch {
 
@@ -52,7 +52,7 @@
     socket.set_option(tcp::no_delay(true), failure);
     const auto on = socket.get_executor();
     auto session = run(boost::beast::tcp_stream(std::move(socket)));
-    asio::co_spawn(on, std::move(session), asio::detached);
+    SpawnLogged(on, "connection", std::move(session));
   }
 }
 
@@ -105,6 +105,9 @@
 }  // namespace
 
 void RunDaemon(const proxy_settings& settings) {
+  SetTaskFailureLog([](std::string_view task, std::string_view what) {
+    LOG(ERROR) << "task " << task << " failed: " << what;
+  });
   asio::io_context context(settings.threads);
   const auto here = std::make_shared<node>(context, settings);
   const auto callers = std::make_shared<tcp::acceptor>(
@@ -118,24 +121,24 @@
   asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& failure, int) {
     if (!failure) {
-      asio::co_spawn(context, ShutDown(here, loops, callers), asio::detached);
+      SpawnLogged(context, "shutdown", ShutDown(here, loops, callers));
     }
   });
   here->events.Add(wall_clock::Now(), event_kind::kStarted, settings.node,
                    "zone " + settings.zone);
   loops->Start();
-  asio::co_spawn(context,
-                 Accept(context, callers,
-                        [here](boost::beast::tcp_stream stream) {
-                          return ServeCaller(here, std::move(stream));
-                        }),
-                 asio::detached);
-  asio::co_spawn(context,
-                 Accept(context, inner,
-                        [here, loops](boost::beast::tcp_stream stream) {
-                          return ServePeer(here, loops, std::move(stream));
-                        }),
-                 asio::detached);
+  const serve serve_caller = [here](boost::beast::tcp_stream stream) {
+    return ServeCaller(here, std::move(stream));
+  };
+  const serve serve_peer = [here, loops](boost::beast::tcp_stream stream) {
+    return ServePeer(here, loops, std::move(stream));
+  };
+  SpawnLoop(context, "accept_callers", [&context, callers, serve_caller] {
+    return Accept(context, callers, serve_caller);
+  });
+  SpawnLoop(context, "accept_peers", [&context, inner, serve_peer] {
+    return Accept(context, inner, serve_peer);
+  });
   LOG(INFO) << "node " << settings.node << " serves callers on "
             << settings.address << ":" << settings.port << " and the fleet on "
             << settings.inner_port;
--- a/proxy/owner_shard.cc
+++ b/proxy/owner_shard.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -11,6 +10,7 @@
 #include "inner/headers.h"
 #include "proxy/claim_log.h"
 #include "proxy/node.h"
+#include "proxy/spawn.h"
 #include "proxy/upstream_link.h"
 #include "request/attempt.h"
 #include "request/request_key.h"
@@ -39,21 +39,17 @@
       service_(std::move(service)),
       index_(index),
       judge_(parent, service_, index, [this](std::string instance) {
-        asio::co_spawn(
-            strand_,
-            [self = shared_from_this(), instance] {
-              return self->Probe(instance);
-            },
-            asio::detached);
+        SpawnLogged(strand_, "probe", [self = shared_from_this(), instance] {
+          return self->Probe(instance);
+        });
       }) {}
 
 owner_shard::~owner_shard() = default;
 
 void owner_shard::Start() {
   SetHosts(node_.hosts.Load(), node_.config.Load());
-  asio::co_spawn(
-      strand_, [self = shared_from_this()] { return self->TickRegularly(); },
-      asio::detached);
+  SpawnLoop(strand_, "shard_ticks",
+            [self = shared_from_this()] { return self->TickRegularly(); });
 }
 
 awaitable<call_result> owner_shard::Run(forwarded_call call,
--- a/tests/front/odd_records_test.cc
+++ b/tests/front/odd_records_test.cc
@@ -273,5 +273,32 @@
   CHECK(following.node->selector.size() == 2);
 }
 
+// An exception that nothing expected ended the loop that it left, unseen.
+TEST_CASE("unexpected exception: the loop of a node goes on after it") {
+  front_world world;
+  raw_server store(world.context, [](const http_request&) {
+    return OkAnswer(nlohmann::json{
+        {"items",
+         {{{"key", "edge-2"},
+           {"value", ToBase64(R"({"address":"127.0.0.1:9"})")}}}},
+        {"has_more", false},
+        {"end_offset",
+         1}}.dump());
+  });
+  node_settings settings;
+  settings.node = "edge-1";
+  settings.store = {"127.0.0.1", store.port()};
+  const auto node = std::make_shared<front_node>(world.context, settings, 1);
+  const auto watch = std::make_shared<store_watch>(node);
+  int listed = 0;
+  watch->Start([&listed](const host_port&) {
+    if (++listed == 1) {
+      throw std::logic_error("not foreseen");
+    }
+  });
+  world.RunUntil([&] { return listed > 1; });
+  CHECK(listed > 1);
+}
+
 }  // namespace
 }  // namespace peridotarch
