Reports carry versions and offsets of 64 bits

What callers saw: with configuration versions above 2^32 half of the nodes sent all requests of a moved route to the old service; past record 2^32 of the instances' topic they used instances that had left, then refused all requests with 503.

Cause: reports carried the lower 32 bits of both numbers. A peer compared them with its whole numbers, so none was ever ahead, and nodes that leave the reads of the store to others learned of no change.

Change: config_version and record_offset (core/store_count.h) hold 64 bits from the node's state to the report and to the peer that is read; they become an integer only by value(). Reports carry the upper halves when one is not zero, as two entries of the load without requests in flight, and flag 8.

Evidence: "numbers above 2^32 are unchanged after encoding and decoding" failed before with 0 == for both numbers. "an older process reads the rest of the report" decodes the new bytes without the flag. balance_test (79 cases) and front_test (54 cases) pass.

--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -15,6 +15,10 @@
 constexpr uint8_t kLeavingFlag = 1;
 constexpr uint8_t kReadsStoreFlag = 2;
 constexpr uint8_t kRelayFlag = 4;
+constexpr uint8_t kUpperHalvesFlag = 8;
+constexpr int kHalfBits = 32;
+constexpr size_t kUpperHalves = 2;
+constexpr size_t kMaxEntries = UINT8_MAX;
 
 // A keyed checksum rejects damaged datagrams and those of other fleets. A full
 // signature on each of some hundred datagrams a second would cost more than it
@@ -23,6 +27,49 @@
   return static_cast<uint32_t>(Hash64(body, Hash64(fleet_key)));
 }
 
+uint32_t LowerHalf(uint64_t number) {
+  return static_cast<uint32_t>(number & UINT32_MAX);
+}
+
+uint32_t UpperHalf(uint64_t number) {
+  return static_cast<uint32_t>(number >> kHalfBits);
+}
+
+uint64_t Joined(uint32_t upper, uint64_t lower) {
+  return uint64_t{upper} << kHalfBits | lower;
+}
+
+bool HasUpperHalves(const load_report& report) {
+  return UpperHalf(report.config_version.value()) != 0 ||
+         UpperHalf(report.instances_offset.value()) != 0;
+}
+
+// The entries of the load as they are sent. Numbers above 2^32 have their upper
+// halves in two entries more, without requests in flight: a process of an older
+// version reads them as the load of two instances that it does not know.
+std::vector<load_entry> LoadToSend(const load_report& report) {
+  std::vector<load_entry> load = report.load;
+  if (HasUpperHalves(report)) {
+    load.resize(std::min(load.size(), kMaxEntries - kUpperHalves));
+    load.push_back({UpperHalf(report.config_version.value()), 0});
+    load.push_back({UpperHalf(report.instances_offset.value()), 0});
+  }
+  return load;
+}
+
+void TakeUpperHalves(load_report& report) {
+  if (report.load.size() < kUpperHalves) {
+    throw codec_error("load report lacks upper halves of its numbers");
+  }
+  const auto take = [&report](uint64_t lower) {
+    const uint32_t upper = report.load.back().instance;
+    report.load.pop_back();
+    return Joined(upper, lower);
+  };
+  report.instances_offset = take(report.instances_offset.value());
+  report.config_version = take(report.config_version.value());
+}
+
 }  // namespace
 
 instance_key KeyOf(std::string_view instance_id) {
@@ -40,21 +87,24 @@
 // Fixed-width big-endian numbers keep a report of a few entries below a hundred
 // bytes. Every byte crosses zones thousands of times a second.
 std::string Encode(const load_report& report, std::string_view fleet_key) {
+  const bool has_upper_halves = HasUpperHalves(report);
+  const std::vector<load_entry> load = LoadToSend(report);
   std::string body;
   PutField(body, report.incarnation);
   PutField(body, report.number);
-  PutField(body, report.config_version);
-  PutField(body, report.instances_offset);
+  PutField(body, LowerHalf(report.config_version.value()));
+  PutField(body, LowerHalf(report.instances_offset.value()));
   PutField(body, report.zone);
   PutField(body,
            static_cast<uint8_t>((report.leaving ? kLeavingFlag : 0) |
                                 (report.reads_store ? kReadsStoreFlag : 0) |
-                                (report.relay_for != 0 ? kRelayFlag : 0)));
+                                (report.relay_for != 0 ? kRelayFlag : 0) |
+                                (has_upper_halves ? kUpperHalvesFlag : 0)));
   if (report.relay_for != 0) {
     PutField(body, report.relay_for);
   }
-  PutField(body, static_cast<uint8_t>(report.load.size()));
-  for (const load_entry& entry : report.load) {
+  PutField(body, static_cast<uint8_t>(load.size()));
+  for (const load_entry& entry : load) {
     PutField(body, entry.instance);
     PutField(body, entry.in_flight);
   }
@@ -106,6 +156,9 @@
     entry.instance = fields.Take<uint32_t>();
     entry.in_flight = fields.Take<uint8_t>();
   }
+  if ((flags & kUpperHalvesFlag) != 0) {
+    TakeUpperHalves(report);
+  }
   report.usage.resize(fields.Take<uint8_t>());
   for (retry_usage& entry : report.usage) {
     entry.service = fields.Take<uint32_t>();
--- a/balance/load_report.h
+++ b/balance/load_report.h
@@ -8,6 +8,7 @@
 
 #include "balance/instance.h"
 #include "core/millis.h"
+#include "core/store_count.h"
 
 namespace peridotarch {
 
@@ -56,9 +57,10 @@
 struct load_report {
   uint32_t incarnation = 0;  ///< Increases with each start of the sender.
   uint32_t number = 0;       ///< Increases with each report of the process.
-  uint32_t config_version = 0;
-  /// Offset in the instances topic up to which the sender knows the entries.
-  uint32_t instances_offset = 0;
+  /// Of the configuration that the sender has in force.
+  peridotarch::config_version config_version;
+  /// Offset of the last change to the instances that the sender knows.
+  record_offset instances_offset;
   uint16_t zone = 0;         ///< Key of the sender's availability zone.
   uint32_t relay_for = 0;    ///< Key of the sender; 0: not to be relayed.
   bool leaving = false;      ///< The process is shutting down.
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -33,7 +33,7 @@
       log(settings.node),
       retries(settings.retries) {}
 
-uint64_t front_node::ConfigVersion() const {
+config_version front_node::ConfigVersion() const {
   const auto in_force = routes.Load();
   return in_force ? in_force->config().version : 0;
 }
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -15,6 +15,7 @@
 #include "core/invariant.h"
 #include "core/metrics.h"
 #include "core/rcu_cell.h"
+#include "core/store_count.h"
 #include "front/connection_pool.h"
 #include "front/decision_log.h"
 #include "platform/store_mirror.h"
@@ -54,10 +55,10 @@
   /// The same for a node that has no records yet.
   std::function<bool()> must_read_store_first = [] { return true; };
   /// Offset in the instances topic up to which this node knows the entries.
-  uint64_t instances_offset = 0;
+  record_offset instances_offset;
   /// Offset of the last change to the instances that this node knows. Entries
   /// are renewed all the time without a change.
-  uint64_t instances_changed_at = 0;
+  record_offset instances_changed_at;
   /// Records that this node has read from the store or from a peer.
   store_mirror mirror;
   bool reads_store = false;  ///< The last read of the store succeeded.
@@ -70,7 +71,7 @@
   millis stops_at;  ///< Set while draining: when the process ends.
 
   /// Returns the version of the configuration in force, 0 if there is none.
-  [[nodiscard]] uint64_t ConfigVersion() const;
+  [[nodiscard]] config_version ConfigVersion() const;
   /// Returns whether the node knows a configuration and the instances.
   [[nodiscard]] bool HasRecords() const;
   /// Returns whether the node can serve new callers.
--- a/front/peer_ahead.h
+++ b/front/peer_ahead.h
@@ -1,17 +1,18 @@
 #ifndef FRONT_PEER_AHEAD_H_
 #define FRONT_PEER_AHEAD_H_
 
-#include <cstdint>
 #include <string>
 
+#include "core/store_count.h"
+
 namespace peridotarch {
 
 /// A node that knows newer records of the store than this one.
 struct peer_ahead {
   std::string address;
-  uint64_t config_version = 0;
+  peridotarch::config_version config_version;
   /// Offset of the last change to the instances that it knows.
-  uint64_t instances_offset = 0;
+  record_offset instances_offset;
   bool is_other_zone = false;
 };
 
--- a/front/peer_reporter_send.cc
+++ b/front/peer_reporter_send.cc
@@ -169,12 +169,12 @@
   report.zone = zone_;
   report.leaving = node_->draining;
   report.reads_store = node_->reads_store;
-  report.instances_offset = static_cast<uint32_t>(node_->instances_changed_at);
+  report.instances_offset = node_->instances_changed_at;
   report.relay_for = relay_for;
   if (content == report_content::kWithUsage) {
     report.usage = node_->retries.Usage(now);
   }
-  report.config_version = static_cast<uint32_t>(node_->ConfigVersion());
+  report.config_version = node_->ConfigVersion();
   return Encode(report, node_->settings.fleet_key);
 }
 
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -208,7 +208,7 @@
 // after a peer has given newer records, and would bring back instances that
 // have left.
 void store_watch::ApplyInstances(const keyed_page& page) {
-  next_instances_offset_ = std::max(page.next, node_->instances_offset);
+  next_instances_offset_ = std::max(page.next, node_->instances_offset.value());
   if (page.next < node_->instances_offset) {
     return;
   }
--- a/tests/balance/load_report_test.cc
+++ b/tests/balance/load_report_test.cc
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "balance/report_fields.h"
 #include "core/error.h"
+#include "core/hash.h"
 
 namespace peridotarch {
 namespace {
@@ -37,6 +39,46 @@
   CHECK(Encode(Sample(), kKey).size() < 72);
 }
 
+// Versions and offsets above 2^32 lost their upper half.
+TEST_CASE("numbers above 2^32 are unchanged after encoding and decoding") {
+  for (const uint64_t large :
+       {uint64_t{UINT32_MAX} + 1, uint64_t{1'764'927'000'003}, UINT64_MAX}) {
+    load_report report = Sample();
+    report.config_version = large;
+    CHECK(DecodeLoadReport(Encode(report, kKey), kKey) == report);
+    CHECK(DecodeLoadReport(Encode(report, kKey), kKey).config_version == large);
+    report = Sample();
+    report.instances_offset = large;
+    CHECK(DecodeLoadReport(Encode(report, kKey), kKey) == report);
+    CHECK(DecodeLoadReport(Encode(report, kKey), kKey).instances_offset ==
+          large);
+    report.load.assign(253, {KeyOf("one"), 1});
+    CHECK(DecodeLoadReport(Encode(report, kKey), kKey) == report);
+    report.load.assign(255, {KeyOf("one"), 1});
+    CHECK(DecodeLoadReport(Encode(report, kKey), kKey).load.size() == 253);
+  }
+}
+
+// Processes of two versions run in one fleet during an upgrade.
+TEST_CASE("numbers above 2^32: an older process reads the rest of the report") {
+  constexpr size_t kChecksumBytes = 4;
+  constexpr size_t kFlagsAt = 18;
+  load_report report = Sample();
+  report.config_version = (uint64_t{5} << 32) + 12;
+  // An older process does not know the flag, and reads what follows as if it
+  // were not set.
+  std::string body = Encode(report, kKey);
+  body.resize(body.size() - kChecksumBytes);
+  body[kFlagsAt] = static_cast<char>(body[kFlagsAt] & ~8);
+  PutField(body,
+           static_cast<uint32_t>(Hash64(body, Hash64(kKey)) & UINT32_MAX));
+  load_report expected = Sample();
+  expected.load.push_back({5, 0});
+  expected.load.push_back({0, 0});
+  CHECK(DecodeLoadReport(body, kKey) == expected);
+  CHECK(Encode(Sample(), kKey)[kFlagsAt] == 3);  // as before
+}
+
 TEST_CASE("damaged, truncated and foreign reports are rejected") {
   const std::string good = Encode(Sample(), kKey);
   CHECK_THROWS_AS(DecodeLoadReport(good, "another key"), codec_error);
--- a/tests/front/peer_test.cc
+++ b/tests/front/peer_test.cc
@@ -44,8 +44,8 @@
     return SendDatagram(to, Encode(report, ""));
   }
   // Reports that this node knows of a change to the instances.
-  void SendChange(const udp::endpoint& to, uint32_t instances_offset,
-                  uint32_t config_version = 0) {
+  void SendChange(const udp::endpoint& to, uint64_t instances_offset,
+                  uint64_t config_version = 0) {
     load_report report;
     report.incarnation = 1;
     report.number = ++report_number_;
@@ -71,6 +71,13 @@
     return received_.size();
   }
 
+  // Returns the latest report that has arrived.
+  load_report LatestReport() {
+    ReceiveAll();
+    REQUIRE_FALSE(received_.empty());
+    return DecodeLoadReport(received_.back(), "");
+  }
+
  private:
   void ReceiveAll() {
     std::string buffer(4096, '\0');
@@ -287,6 +294,37 @@
   CHECK(peer.CountReceived() == before + 1);
 }
 
+// Numbers were cut to 32 bits in reports, so that no peer was ever ahead, and
+// nodes that do not read the store kept the records that they had.
+TEST_CASE("numbers above 2^32: a node finds that a peer is ahead, and tells") {
+  constexpr uint64_t kVersion = 1'764'927'000'003;
+  constexpr uint64_t kOffset = (uint64_t{1} << 32) + 10;
+  reporting_node reporting;
+  const auto node = reporting.node;
+  std::vector<peer_ahead> ahead;
+  reporting.reporter->Start(
+      [&ahead](const peer_ahead& peer) { ahead.push_back(peer); });
+  fleet_config config;
+  config.version = kVersion;
+  node->routes.Store(std::make_shared<const route_index>(config));
+  node->instances_offset = kOffset;
+  node->instances_changed_at = kOffset;
+  fake_peer peer(reporting.world.context, "127.0.0.12", "a");
+  peer.SendChange(reporting.address, kOffset, kVersion);
+  reporting.world.RunUntil([&] { return peer.CountReceived() > 0; });
+  CHECK(ahead.empty());
+  const load_report told = peer.LatestReport();
+  CHECK(told.instances_offset == kOffset);
+  CHECK(told.config_version == kVersion);
+  peer.SendChange(reporting.address, kOffset + 1, kVersion);
+  reporting.world.RunUntil([&] { return ahead.size() == 1; });
+  peer.SendChange(reporting.address, kOffset, kVersion + 3);
+  reporting.world.RunUntil([&] { return ahead.size() == 2; });
+  REQUIRE(ahead.size() == 2);
+  CHECK(ahead[0].instances_offset == kOffset + 1);
+  CHECK(ahead[1].config_version == kVersion + 3);
+}
+
 // Under overload each node had a report to relay for every failed attempt of
 // the other zones.
 TEST_CASE("many nodes: reports that arrive together are relayed together") {
