--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -1,14 +1,13 @@
 #include "front/store_watch.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "core/error.h"
 #include "core/invariant.h"
 #include "proxy/executor.h"
+#include "proxy/spawn.h"
 
 namespace peridotarch {
 
@@ -55,10 +54,9 @@
 
 // The coroutine keeps this object alive until the loop has ended.
 void store_watch::Spawn(std::function<awaitable<void>()> run) {
-  asio::co_spawn(
-      node_->context,
-      [self = shared_from_this(), run = std::move(run)]() { return run(); },
-      asio::detached);
+  SpawnLoop(
+      node_->context, "store_watch",
+      [self = shared_from_this(), run = std::move(run)]() { return run(); });
 }
 
 void store_watch::Start(std::function<void(const host_port&)> on_peer) {
@@ -87,12 +85,14 @@
 }
 
 uint64_t store_watch::PositionIn(const followed_topic& topic) const {
-  return IsConfig(topic) ? node_->ConfigVersion() : node_->instances_offset;
+  return IsConfig(topic) ? node_->ConfigVersion().value()
+                         : node_->instances_offset.value();
 }
 
 uint64_t store_watch::PositionOf(const peer_ahead& peer,
                                  const followed_topic& topic) const {
-  return IsConfig(topic) ? peer.config_version : peer.instances_offset;
+  return IsConfig(topic) ? peer.config_version.value()
+                         : peer.instances_offset.value();
 }
 
 bool store_watch::Apply(followed_topic& topic, const keyed_page& page,
@@ -231,7 +231,7 @@
 // after a peer has given newer records, and would bring back instances that
 // have left.
 void store_watch::ApplyInstances(const keyed_page& page) {
-  instances_.next_offset = std::max(page.next, node_->instances_offset);
+  instances_.next_offset = std::max(page.next, node_->instances_offset.value());
   if (page.next < node_->instances_offset) {
     return;
   }
@@ -253,6 +253,7 @@
     } catch (const codec_error& failure) {
       node_->log.Write("instance_entry_refused",
                        {{"instance", record.key}, {"error", failure.what()}});
+      list_.Remove(record.key, now);  // what it had replaced is gone
     }
   }
   if (page.whole) {
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -114,6 +114,8 @@
 // zone before it reads from another. A restarted node has callers that wait.
 awaitable<void> store_watch::CatchUpTopic(followed_topic& topic) {
   const asio::any_io_executor executor = node_->context.get_executor();
+  const std::shared_ptr<void> in_progress(
+      nullptr, [&topic](void*) { topic.is_catching_up = false; });
   if (node_->HasRecords() || node_->settings.is_first_start) {
     co_await WaitForTurn(topic);
   }
@@ -124,12 +126,11 @@
     co_await ReadFromPeer(topic, remote);
     if (!IsConfig(topic) && node_->instances_offset >= position) {
       node_->instances_changed_at =
-          std::max(node_->instances_changed_at, position);
+          std::max(node_->instances_changed_at, record_offset(position));
     }
     node_->on_load_change(load_change::kCaughtUp, 0);
   }
   co_await Sleep(executor, kCatchUpPause);
-  topic.is_catching_up = false;
 }
 
 }  // namespace peridotarch
