Handlers of timers no longer outlive what they use

Cause: the timer of a slow attempt held `this` of a request that lives in a coroutine's frame. If the answer and the expiry were ready in one turn of the event loop, the answer was handled first and the frame freed. cancel() returned 0, since the handler was queued, and stopped nothing.

Change: guarded_timer owns the function that a timer calls and drops it when it is stopped, started anew or destroyed.

An answer in the turn of the timer's expiry now counts by its own outcome. Before, it counted as unknown, and the late handler reported a slow attempt.

--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -1,7 +1,6 @@
 #include "front/caller_request.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -12,14 +11,11 @@
 #include "front/record_wait.h"
 #include "front/retry_choice.h"
 #include "platform/call_wire.h"
-#include "platform/to_chrono.h"
+#include "proxy/guarded_timer.h"
 #include "proxy/message.h"
 
 namespace peridotarch {
 
-namespace asio = boost::asio;
-using boost::system::error_code;
-
 namespace {
 
 constexpr millis kMinAttemptTime(10);  // no instance answers in less
@@ -156,15 +152,11 @@
   state_.exchange = control;
   node_.selector.Begin(key);
   node_.on_load_change(load_change::kSlotTaken, key);
-  asio::steady_timer slow_timer(node_.context,
-                                ToChrono(attempt.choice.slow_after));
-  slow_timer.async_wait([this, key, control](const error_code& failure) {
-    if (!failure) {
-      OnSlowAttempt(key, *control);
-    }
-  });
+  guarded_timer slow_timer(node_.context.get_executor());
+  slow_timer.Start(attempt.choice.slow_after,
+                   [this, key, control] { OnSlowAttempt(key, *control); });
   attempt.result = co_await node_.pool.Exchange(std::move(params), *control);
-  const bool was_slow = slow_timer.cancel() == 0;
+  const bool was_slow = !slow_timer.Stop();
   state_.exchange = nullptr;
   attempt.latency = boot_clock::Now() - attempt_started_at;
   attempt.classification = Classify(attempt.result);
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -148,6 +148,13 @@
   node->context.stop();
 }
 
+awaitable<void> ShutDownOnSignal(std::unique_ptr<asio::signal_set> signals,
+                                 std::shared_ptr<front_node> node,
+                                 std::shared_ptr<peer_reporter> peers) {
+  co_await signals->async_wait(asio::use_awaitable);
+  co_await ShutDown(std::move(node), std::move(peers));
+}
+
 void LogSettings(front_node& node, std::string_view event) {
   const node_settings& settings = node.settings;
   node.log.Write(event, {{"zone", settings.zone},
@@ -217,12 +224,11 @@
   tcp::acceptor control = Listen(context, settings.control, kBacklog);
   const auto peers = std::make_shared<peer_reporter>(node);
   const auto store = std::make_shared<store_watch>(node);
-  asio::signal_set stop(context, SIGTERM, SIGINT);
-  stop.async_wait([&](const error_code& failure, int) {
-    if (!failure) {
-      asio::co_spawn(context, ShutDown(node, peers), asio::detached);
-    }
-  });
+  asio::co_spawn(context,
+                 ShutDownOnSignal(std::make_unique<asio::signal_set>(
+                                      context, SIGTERM, SIGINT),
+                                  node, peers),
+                 asio::detached);
   asio::co_spawn(context, ReloadOnHangUp(node, settings_path), asio::detached);
   asio::co_spawn(context, ReloadOnChange(node, settings_path), asio::detached);
   peers->Start([store](const peer_ahead& peer) { store->CatchUp(peer); });
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -47,10 +47,10 @@
           node_->context,
           udp::endpoint(asio::ip::make_address(node_->settings.callers.host),
                         node_->settings.peer_port)),
-      same_zone_report_{asio::steady_timer(node_->context)},
-      other_zones_report_{asio::steady_timer(node_->context)},
-      whole_zone_report_{asio::steady_timer(node_->context)},
-      relayed_reports_{asio::steady_timer(node_->context)},
+      same_zone_report_{guarded_timer(node_->context.get_executor())},
+      other_zones_report_{guarded_timer(node_->context.get_executor())},
+      whole_zone_report_{guarded_timer(node_->context.get_executor())},
+      relayed_reports_{guarded_timer(node_->context.get_executor())},
       zone_(ZoneKeyOf(node_->settings.zone)),
       own_relay_key_(RelayKeyOf(socket_.local_endpoint())) {
   socket_.non_blocking(true);
@@ -58,12 +58,7 @@
 
 void peer_reporter::Start(std::function<void(const peer_ahead&)> on_ahead) {
   on_ahead_ = std::move(on_ahead);
-  node_->on_load_change = [this](load_change change, instance_key key) {
-    OnLoadChange(change, key);
-  };
-  node_->must_read_store = [this] { return MustReadStore(); };
-  node_->must_read_store_first = [this] { return MustReadStoreFirst(); };
-  node_->find_store_reader = [this] { return FindStoreReader(); };
+  SetNodeHooks();
   // The coroutines keep this object alive until the loop has ended.
   const auto self = shared_from_this();
   asio::co_spawn(
@@ -73,6 +68,28 @@
       asio::detached);
 }
 
+// The node may outlive this object.
+void peer_reporter::SetNodeHooks() {
+  const std::weak_ptr<peer_reporter> weak = weak_from_this();
+  node_->on_load_change = [weak](load_change change, instance_key key) {
+    if (const auto self = weak.lock()) {
+      self->OnLoadChange(change, key);
+    }
+  };
+  node_->must_read_store = [weak] {
+    const auto self = weak.lock();
+    return !self || self->MustReadStore();
+  };
+  node_->must_read_store_first = [weak] {
+    const auto self = weak.lock();
+    return !self || self->MustReadStoreFirst();
+  };
+  node_->find_store_reader = [weak] {
+    const auto self = weak.lock();
+    return self ? self->FindStoreReader() : std::nullopt;
+  };
+}
+
 void peer_reporter::AddPeer(const host_port& address) {
   error_code failure;
   const auto ip = asio::ip::make_address(address.host, failure);
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -2,7 +2,6 @@
 #define FRONT_PEER_REPORTER_H_
 
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -18,6 +17,7 @@
 #include "front/front_node.h"
 #include "front/peer_ahead.h"
 #include "platform/awaitable.h"
+#include "proxy/guarded_timer.h"
 
 namespace peridotarch {
 
@@ -67,11 +67,12 @@
   };
   /// A report that is sent after a delay.
   struct delayed_report {
-    boost::asio::steady_timer timer;
+    guarded_timer timer;
     std::optional<millis> due_at = {};  ///< Set while it waits to be sent.
     report_pace pace = {};
   };
 
+  void SetNodeHooks();
   awaitable<void> Receive();
   awaitable<void> SendHeartbeats();
   void OnLoadChange(load_change change, instance_key key);
--- a/front/peer_reporter_send.cc
+++ b/front/peer_reporter_send.cc
@@ -5,7 +5,6 @@
 #include "balance/relay_choice.h"
 #include "balance/report_batch.h"
 #include "front/peer_reporter.h"
-#include "platform/to_chrono.h"
 
 namespace peridotarch {
 
@@ -135,14 +134,10 @@
     return;
   }
   report.due_at = due_at;
-  report.timer.expires_after(ToChrono(delay));
-  report.timer.async_wait(
-      [&report, send = std::move(send)](const error_code& failure) {
-        if (!failure) {
-          report.due_at.reset();
-          send();
-        }
-      });
+  report.timer.Start(delay, [&report, send = std::move(send)] {
+    report.due_at.reset();
+    send();
+  });
 }
 
 bool peer_reporter::SendPaced(delayed_report& report, millis interval,
--- a/proxy/claim_log.cc
+++ b/proxy/claim_log.cc
@@ -73,7 +73,7 @@
   const uint64_t submission =
       claimer_.Submit(key, now + left, now, wall_clock::Now());
   wait_cell<claim_outcome> cell(strand_);
-  waiting_[submission] = &cell;
+  waiting_.insert_or_assign(submission, cell);
   Pump();
   co_return co_await cell.Wait();
 }
@@ -121,7 +121,7 @@
   for (const claim_outcome& outcome : step.outcomes) {
     const auto waiter = waiting_.find(outcome.submission);
     if (waiter != waiting_.end()) {
-      waiter->second->Set(outcome);
+      waiter->second.Set(outcome);
       waiting_.erase(waiter);
     }
   }
--- a/proxy/claim_log.h
+++ b/proxy/claim_log.h
@@ -49,7 +49,7 @@
   http_log log_;
   const std::string stream_;
   claimer claimer_;
-  std::unordered_map<uint64_t, wait_cell<claim_outcome>*> waiting_;
+  std::unordered_map<uint64_t, wait_cell<claim_outcome>> waiting_;
 };
 
 }  // namespace peridotarch
--- a/proxy/daemon.cc
+++ b/proxy/daemon.cc
@@ -102,6 +102,14 @@
   here->context.stop();
 }
 
+awaitable<void> ShutDownOnSignal(std::unique_ptr<asio::signal_set> signals,
+                                 std::shared_ptr<node> here,
+                                 std::shared_ptr<control> loops,
+                                 std::shared_ptr<tcp::acceptor> callers) {
+  co_await signals->async_wait(asio::use_awaitable);
+  co_await ShutDown(std::move(here), std::move(loops), std::move(callers));
+}
+
 }  // namespace
 
 void RunDaemon(const proxy_settings& settings) {
@@ -115,12 +123,11 @@
              tcp::acceptor::max_listen_connections));
   const auto loops = std::make_shared<control>(here);
 
-  asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& failure, int) {
-    if (!failure) {
-      asio::co_spawn(context, ShutDown(here, loops, callers), asio::detached);
-    }
-  });
+  asio::co_spawn(context,
+                 ShutDownOnSignal(std::make_unique<asio::signal_set>(
+                                      context, SIGTERM, SIGINT),
+                                  here, loops, callers),
+                 asio::detached);
   here->events.Add(wall_clock::Now(), event_kind::kStarted, settings.node,
                    "zone " + settings.zone);
   loops->Start();
--- a/proxy/owner_shard.cc
+++ b/proxy/owner_shard.cc
@@ -211,7 +211,7 @@
   info.idempotent = now.call.idempotent;
   info.excluded_instance = now.failed_at;
   wait_cell<shard_action> cell(strand_);
-  waiting_[id] = &cell;
+  waiting_.insert_or_assign(id, cell);
   scheduler_.Admit(id, info, steady_clock::Now());
   Pump();
   co_return co_await cell.Wait();
@@ -290,7 +290,7 @@
     if (waiter == waiting_.end()) {
       continue;
     }
-    waiter->second->Set(action);
+    waiter->second.Set(action);
     waiting_.erase(waiter);
   }
 }
--- a/proxy/owner_shard.h
+++ b/proxy/owner_shard.h
@@ -100,7 +100,7 @@
   std::map<std::string, std::shared_ptr<upstream_link>> links_;
   shard_judge judge_;
   std::atomic<bool> doubts_ = false;
-  std::unordered_map<ticket, wait_cell<shard_action>*> waiting_;
+  std::unordered_map<ticket, wait_cell<shard_action>> waiting_;
   ticket next_ticket_ = 1;
 };
 
--- a/proxy/wait_cell.h
+++ b/proxy/wait_cell.h
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -13,31 +14,40 @@
 namespace peridotarch {
 
 /// A value that one coroutine waits for and another sets, both on one strand.
+/// Copies share the value, so the setter does not refer to the waiter's frame.
 template <typename T>
 class wait_cell {
  public:
   explicit wait_cell(const boost::asio::any_io_executor& strand)
-      : timer_(strand, boost::asio::steady_timer::time_point::max()) {}
+      : shared_(std::make_shared<shared_state>(strand)) {}
 
   /// Sets the value and wakes the waiter.
-  void Set(T value) {
-    value_ = std::move(value);
-    timer_.cancel();
+  void Set(T value) const {
+    shared_->value = std::move(value);
+    shared_->changed.cancel();
   }
 
   /// Waits for the value.
-  awaitable<T> Wait() {
-    while (!value_) {
+  awaitable<T> Wait() const {
+    const auto shared = shared_;
+    while (!shared->value) {
       boost::system::error_code woken;
-      co_await timer_.async_wait(
+      co_await shared->changed.async_wait(
           boost::asio::redirect_error(boost::asio::use_awaitable, woken));
     }
-    co_return std::move(*value_);
+    co_return std::move(*shared->value);
   }
 
  private:
-  boost::asio::steady_timer timer_;
-  std::optional<T> value_;
+  struct shared_state {
+    explicit shared_state(const boost::asio::any_io_executor& strand)
+        : changed(strand, boost::asio::steady_timer::time_point::max()) {}
+
+    boost::asio::steady_timer changed;  ///< Cancelled when the value is set.
+    std::optional<T> value;
+  };
+
+  std::shared_ptr<shared_state> shared_;
 };
 
 }  // namespace peridotarch
