Leaving and resting instances get no new requests

Callers saw requests go to instances that had said in every answer that they were leaving (Server-Leaving: 1), until the store listed them as draining; with the store away that never ended. An instance that had turned a request away with 503 and Retry-After got the next request at once, as a last resort, and callers were told to return after 150 ms.

Cause: neither header was read. The selector knew only the store's list, and the health of an instance, which lets suspects be tried and used as a last resort.

Change: each head of an answer is read for both headers (platform/call_wire) and noted before the body is read (balance/instance_notices). A notice holds for one start of one instance id, and is kept beside the list, so that no entry but one of a later start ends it. It is asked in the choice, for trials and retries too, and again before the write: a request that is withdrawn there has not run and takes nothing from the retry budget. Idle connections to a leaving instance are closed. The header is not passed on. After a rest the node sends one request at a time and one more for each good answer. If all instances of a service rest, the caller is refused at once with a Retry-After not before the first return.

A Retry-After that is no decimal number says nothing, one above a minute counts as a minute.

Ruled out: a leaving instance as a suspect (suspects are tried and used last), a notice inside the tracked instance (it is dropped with the entry), and taking a 421 as the word of the instance that was meant.

--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -38,7 +38,9 @@
     instance.key = key;
     instance.entry = entry;
     instance.is_listed = true;
+    notices_.NoteListed(key, entry.started_at, now);
   }
+  notices_.Prune(now);
   std::erase_if(instances_, [](const auto& item) {
     return !item.second.is_listed && item.second.own_in_flight == 0;
   });
@@ -154,6 +156,7 @@
     stats_[instance.entry.service].work.NoteWork(route, work);
   }
   ApplyOutcome(instance, outcome, "", now);
+  notices_.NoteOutcome(key, outcome, instance.entry.slots, now);
   return change;
 }
 
--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -12,8 +12,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "balance/answer_notice.h"
 #include "balance/instance.h"
 #include "balance/instance_health.h"
+#include "balance/instance_notices.h"
 #include "balance/load_change.h"
 #include "balance/load_report.h"
 #include "balance/node_ring.h"
@@ -61,7 +63,7 @@
   double work_rounds = 1;  ///< Work times until the answer, queueing included.
   millis expected;         ///< Expected time until the answer.
   millis slow_after;       ///< An attempt that takes longer counts as slow.
-  millis retry_after;      ///< For kOverload: when capacity is expected.
+  millis retry_after;      ///< If none was chosen: when to expect capacity.
 };
 
 /// An instance became suspect or was cleared.
@@ -107,6 +109,17 @@
   load_change NoteEarlyOutcome(instance_key key, attempt_outcome outcome,
                                millis now);
 
+  /// Records what an answer of the instance says about it. Returns whether the
+  /// instance thereby turned out to be leaving.
+  bool NoteAnswer(const instance_entry& instance, const answer_notice& notice,
+                  millis now);
+  /// Returns whether a request that was chosen for the instance may still be
+  /// sent there.
+  [[nodiscard]] bool MaySend(const instance_entry& instance, millis now) const;
+  /// Returns the time until the first instance of the service takes requests
+  /// again if all rest or are leaving; 0 if one takes requests or none returns.
+  [[nodiscard]] millis RestLeft(std::string_view service, millis now) const;
+
   /// Applies a peer's report. Outdated reports are ignored.
   void Apply(const std::string& peer, const load_report& report, millis now);
   /// Drops the load of peers that have sent no report lately.
@@ -238,6 +251,10 @@
                                 const service_stats& stats, millis now);
   void ApplyOutcome(tracked_instance& instance, attempt_outcome outcome,
                     const std::string& told_by, millis ended_at);
+  [[nodiscard]] bool AllLeave(
+      const std::vector<tracked_instance*>& members) const;
+  bool NoteLeaving(instance_key key, int64_t started_at, millis now);
+  void NoteLeavingAt(const instance_entry& address, millis now);
   void CountSuspects();
   void AssignHomes();
   void AddRecentOutcome(instance_key key, attempt_outcome outcome, millis now);
@@ -251,6 +268,7 @@
   size_t zone_nodes_ = 1;  ///< Live nodes in this zone, with this one.
   random_bits random_;
   std::unordered_map<instance_key, tracked_instance> instances_;
+  instance_notices notices_;
   std::map<std::string, std::vector<tracked_instance*>, std::less<>>
       by_service_;
   std::map<std::string, service_stats, std::less<>> stats_;
--- a/balance/instance_selector_choice.cc
+++ b/balance/instance_selector_choice.cc
@@ -51,6 +51,7 @@
 constexpr int kMaxReserveDenials = 2;
 // An instance without a request for this long may be new or recovered.
 constexpr millis kUnusedTime(1'000);
+constexpr millis kNoInstanceRetryAfter(800);  // entries renew every 1.5 s
 
 }  // namespace
 
@@ -78,6 +79,7 @@
                                      const choice_request& request,
                                      millis now) const {
   return now >= instance.unreachable_until &&
+         instance.own_in_flight < notices_.MaxInFlight(instance.key, now) &&
          std::find(request.tried.begin(), request.tried.end(), instance.key) ==
              request.tried.end();
 }
@@ -231,6 +233,7 @@
                                           millis now) {
   const auto found = by_service_.find(request.service);
   instance_choice none;
+  none.retry_after = kNoInstanceRetryAfter;
   if (found == by_service_.end()) {
     return none;
   }
@@ -271,6 +274,9 @@
   if (gray != nullptr && request.is_retryable) {
     return MakeChoice(*gray, choice_basis::kLastResort, limits, now);
   }
+  if (AllLeave(found->second)) {
+    return none;
+  }
   none.basis = choice_basis::kOverload;
   const double until_capacity =
       options.shortest_ms - limits.in_time_most_urgent;
--- /dev/null
+++ b/balance/retry_delay.cc
@@ -0,0 +1,22 @@
+#include "balance/retry_delay.h"
+
+#include <algorithm>
+
+namespace peridotarch {
+
+namespace {
+
+constexpr int64_t kHonouredPart = 3;  // callers honour a third of their time
+constexpr millis kMaxSpread(1'000);
+constexpr millis kMinSpread(50);
+
+}  // namespace
+
+millis DelayAfterRest(millis rest, millis time_left, double spread) {
+  const millis width =
+      std::clamp(time_left / kHonouredPart - rest, kMinSpread, kMaxSpread);
+  return rest + millis(static_cast<int64_t>(static_cast<double>(width.count()) *
+                                            spread));
+}
+
+}  // namespace peridotarch
--- a/front/attempt_record.cc
+++ b/front/attempt_record.cc
@@ -40,6 +40,9 @@
 }
 
 reason FailureReason(const attempt_record& attempt) {
+  if (attempt.result.withdrawn) {
+    return reason::kNoCapacity;
+  }
   if (attempt.result.summary.ended != attempt_end_cause::kAnswered) {
     return ReasonOf(attempt.result.summary);
   }
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -29,7 +29,6 @@
 // that cannot be retried goes only on a connection that was in use recently.
 constexpr millis kMaxIdleTimeIdempotent(7'000);
 constexpr millis kMaxIdleTime(3'000);
-constexpr millis kNoInstanceRetryAfter(800);  // entries renew every 1.5 s
 constexpr millis kOtherNodeRetryAfter(500);
 
 class request_handler {
@@ -51,7 +50,7 @@
   bool TakeRetry(millis now);
   [[nodiscard]] retry_choice DecideRetry(const attempt_record& attempt);
   http_response Deliver(attempt_record& attempt);
-  http_response Refuse(reason why, millis retry_after);
+  http_response Refuse(reason why, millis delay);
   http_response Fail(const attempt_record& attempt);
   [[nodiscard]] choice_request MakeChoiceRequest(millis now) const;
   choice_request MakeChoiceRequestWithout(instance_key key, millis now);
@@ -321,8 +320,10 @@
   return answer;
 }
 
-http_response request_handler::Refuse(reason why, millis retry_after) {
+http_response request_handler::Refuse(reason why, millis delay) {
   const reply_rule rule = ReplyFor(why);
+  const millis retry_after =
+      node_.RetryAfter(service_, delay, work_deadline_ - boot_clock::Now());
   node_.Verify(rule.run_verdict != verdict::kNotRun || possible_runs_ == 0,
                invariant::kNotRun, terms_.id);
   LogAnswer(why, rule.status, retry_after);
@@ -333,7 +334,7 @@
 http_response request_handler::Fail(const attempt_record& attempt) {
   const reason why = FailureReason(attempt);
   if (possible_runs_ == 0) {
-    return Refuse(why, node_.Jitter(RetryAfterFailure(attempt, why)));
+    return Refuse(why, RetryAfterFailure(attempt, why));
   }
   // An earlier attempt may have run even if the last one did not, so the
   // answer must not state that the request did not run.
@@ -346,9 +347,8 @@
   if (const auto refused = Prepare()) {
     const bool other_node_can_serve =
         *refused == reason::kNotConfigured || *refused == reason::kShuttingDown;
-    co_return Refuse(*refused, other_node_can_serve
-                                   ? node_.Jitter(kOtherNodeRetryAfter)
-                                   : millis(0));
+    co_return Refuse(*refused,
+                     other_node_can_serve ? kOtherNodeRetryAfter : millis(0));
   }
   attempt_record attempt;
   for (;;) {
@@ -363,8 +363,7 @@
       }
       const bool no_instance = next.choice.basis == choice_basis::kNoInstance;
       co_return Refuse(no_instance ? reason::kNoCapacity : reason::kOverloaded,
-                       node_.Jitter(no_instance ? kNoInstanceRetryAfter
-                                                : next.choice.retry_after));
+                       next.choice.retry_after);
     }
     attempt = std::move(next);
     co_await RunAttempt(attempt);
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -75,10 +75,11 @@
 }
 
 // Reads the head of the next answer on the connection, past informational (1xx)
-// ones.
+// ones. Each head may carry a notice of the instance.
 template <typename Parser>
-awaitable<error_code> ReadAnswerHead(instance_connection& connection,
-                                     std::optional<Parser>& parser) {
+awaitable<error_code> ReadAnswerHead(
+    instance_connection& connection, std::optional<Parser>& parser,
+    std::function<void(const answer_notice&)> on_notice) {
   error_code failure;
   for (int read = 0; read <= kMaxInformationalAnswers; ++read) {
     parser.emplace();
@@ -88,6 +89,9 @@
     co_await http::async_read_header(
         connection.stream, connection.buffer, *parser,
         asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure) {
+      on_notice(ReadNotice(parser->get()));
+    }
     if (failure || parser->get().result_int() / 100 != kInformationalClass) {
       co_return failure;
     }
@@ -149,6 +153,10 @@
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+void connection_pool::CloseIdleTo(const instance_entry& instance) {
+  idle_.erase(ConnectionKey(instance));
+}
+
 // The deadline is checked after each read: while bytes arrive without a pause,
 // the event loop completes the next read before the stream's timer.
 awaitable<error_code> connection_pool::ReadBody(
@@ -195,6 +203,12 @@
       co_return result;
     }
   }
+  // It may have said so to another request while the connection was opened.
+  if (!may_send(params.instance)) {
+    result.withdrawn = true;
+    result.summary.ended = attempt_end_cause::kCancelled;
+    co_return result;
+  }
   control.connection = connection;
   connection->send_started = false;
   connection->stream.expires_at(deadline);
@@ -204,7 +218,10 @@
   std::optional<answer_parser> parser;
   error_code failure;
   for (int stray_answers = 0;; ++stray_answers) {
-    failure = co_await ReadAnswerHead(*connection, parser);
+    failure = co_await ReadAnswerHead(
+        *connection, parser, [this, &params](const answer_notice& notice) {
+          on_notice(params.instance, notice);
+        });
     if (!failure) {
       result.summary.read = read_progress::kPart;
       failure = co_await ReadBody(*connection, *parser, deadline);
@@ -230,7 +247,7 @@
   const bool is_framed = !parser->need_eof();
   result.answer = parser->release();
   if (result.answer.keep_alive() && is_framed && connection->fully_sent &&
-      connection->buffer.size() == 0) {
+      connection->buffer.size() == 0 && !ReadNotice(result.answer).leaving) {
     connection->idle_timeout = IdleTimeout(result.answer) - kIdleCloseMargin;
     result.idle_connections = KeepIdle(params.instance, std::move(connection));
   } else {
--- a/front/connection_pool.h
+++ b/front/connection_pool.h
@@ -6,11 +6,13 @@
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "balance/answer_notice.h"
 #include "balance/instance.h"
 #include "core/host_port.h"
 #include "core/millis.h"
@@ -48,6 +50,8 @@
   http_response answer;      ///< Set if `summary` says answered.
   bool reused = false;       ///< The connection had carried a request before.
   int idle_connections = 0;  ///< To the instance, after the exchange.
+  /// Nothing was sent, as the instance takes no requests any more.
+  bool withdrawn = false;
 };
 
 /// Keep-alive connections to instances. Each carries one request at a time.
@@ -68,6 +72,17 @@
 
   /// Closes connections that have been idle for too long.
   void CloseIdle(millis now);
+  /// Closes all idle connections to the instance.
+  void CloseIdleTo(const instance_entry& instance);
+
+  /// Called with each head of an answer that the instance sends, before the
+  /// rest of the answer is read.
+  std::function<void(const instance_entry&, const answer_notice&)> on_notice =
+      [](const instance_entry&, const answer_notice&) {};
+  /// Returns whether the instance still takes requests; asked before each
+  /// write.
+  std::function<bool(const instance_entry&)> may_send =
+      [](const instance_entry&) { return true; };
 
  private:
   using connection_ptr = std::shared_ptr<instance_connection>;
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "balance/retry_delay.h"
 #include "front/caller_session.h"
 
 namespace peridotarch {
@@ -31,7 +32,15 @@
       pool(io),
       random(seed + 1),
       log(settings.node),
-      retries(settings.retries) {}
+      retries(settings.retries) {
+  pool.on_notice = [this](const instance_entry& instance,
+                          const answer_notice& notice) {
+    OnNotice(instance, notice);
+  };
+  pool.may_send = [this](const instance_entry& instance) {
+    return selector.MaySend(instance, boot_clock::Now());
+  };
+}
 
 uint64_t front_node::ConfigVersion() const {
   const auto in_force = routes.Load();
@@ -62,6 +71,23 @@
                                      (kMinFactor + random.Unit())));
 }
 
+millis front_node::RetryAfter(const std::string& service, millis usual,
+                              millis time_left) {
+  if (usual == millis(0)) {
+    return usual;
+  }
+  const millis rest = selector.RestLeft(service, boot_clock::Now());
+  return rest > millis(0) ? DelayAfterRest(rest, time_left, random.Unit())
+                          : Jitter(usual);
+}
+
+void front_node::OnNotice(const instance_entry& instance,
+                          const answer_notice& notice) {
+  if (selector.NoteAnswer(instance, notice, boot_clock::Now())) {
+    pool.CloseIdleTo(instance);
+  }
+}
+
 void front_node::CountAnswer(reason why, millis taken) {
   counters
       .Counter("answers_total", "Answers to callers by reason.",
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -80,10 +80,17 @@
   void Verify(bool holds, invariant which, const std::string& request);
   /// Returns a random time from 0.5 to 1.5 times `span`.
   [[nodiscard]] millis Jitter(millis span);
+  /// Returns when a caller whose request for the service has not run may
+  /// return, within a third of its `time_left` if the instances allow that.
+  /// `usual` is the mean if instances take requests; if 0, the result is 0.
+  [[nodiscard]] millis RetryAfter(const std::string& service, millis usual,
+                                  millis time_left);
   /// Counts an answer to a caller by its reason, and records the time taken.
   void CountAnswer(reason why, millis taken);
   /// Closes the connections of callers that have been idle for too long.
   void CloseIdleCallers(millis now);
+  /// Handles what an answer says about its instance.
+  void OnNotice(const instance_entry& instance, const answer_notice& notice);
   /// Logs the health changes that the selector has collected.
   void LogHealthChanges();
   /// The same, and tells the peers of the change at the instance.
