A leaving that one node has seen reaches the others; log lines for notices

Each node of a fleet sent a request of its own to a leaving instance before it knew, and kept idle connections there. From a refused request there was no way to what the instance had said.

Cause: the load reports carried outcomes for health alone, and the notices were kept without a record of who said what.

Change: a new leaving is an outcome in the load reports, sent at once on the path of a failure. A node applies it only if it knows the instance with the same start, closes its idle connections there, and does not pass it on.

Ruled out: a new outcome code (nodes of an older version refuse the whole report), a field of its own (they would misread the rest), and the age to tell a new start from the leaving one (a relay delays reports by a tenth of a second).

Not measured: the share of requests that meet a leaving instance with and without the reports, and their number.

--- a/balance/instance.h
+++ b/balance/instance.h
@@ -37,13 +37,14 @@
   kUnreachable,  ///< No connection was established.
   kMoved,        ///< Another instance now has this address.
   kUnknown,      ///< Shows nothing, such as an attempt this node cancelled.
+  kLeaving,      ///< The instance said that it is leaving; only in reports.
 };
 
 template <>
 struct names_of<attempt_outcome> {
-  static constexpr std::array<std::string_view, 8> kTable = {
-      "ok",   "failed",      "broken", "slow",
-      "shed", "unreachable", "moved",  "unknown"};
+  static constexpr std::array<std::string_view, 9> kTable = {
+      "ok",          "failed", "broken",  "slow",   "shed",
+      "unreachable", "moved",  "unknown", "leaving"};
 };
 
 }  // namespace peridotarch
--- a/balance/instance_health.cc
+++ b/balance/instance_health.cc
@@ -51,6 +51,7 @@
       return MarkSuspect(outcome, kShedHold, kSuccessesAfterSlow, ended_at);
     case attempt_outcome::kMoved:
     case attempt_outcome::kUnknown:
+    case attempt_outcome::kLeaving:
       return false;
   }
   return false;
--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -38,7 +38,7 @@
     instance.key = key;
     instance.entry = entry;
     instance.is_listed = true;
-    notices_.NoteListed(key, entry.started_at, now);
+    notices_.NoteListed(entry, now);
   }
   notices_.Prune(now);
   std::erase_if(instances_, [](const auto& item) {
@@ -174,12 +174,13 @@
 }
 
 void instance_selector::AddRecentOutcome(instance_key key,
-                                         attempt_outcome outcome, millis now) {
+                                         attempt_outcome outcome, millis now,
+                                         uint16_t start) {
   if (outcome == attempt_outcome::kUnknown) {
     return;
   }
   recent_outcomes_.push_back(
-      {{++last_outcome_number_, key, outcome, millis(0)}, now});
+      {{++last_outcome_number_, key, outcome, millis(0), start}, now});
   while (recent_outcomes_.size() > kMaxRecentOutcomes) {
     recent_outcomes_.pop_front();
   }
@@ -253,11 +254,22 @@
     state.outcome_number = entry.number;
     const auto found = instances_.find(entry.instance);
     if (found != instances_.end()) {
-      ApplyOutcome(found->second, entry.outcome, peer, now - entry.age);
+      ApplyReported(found->second, entry, peer, now);
     }
   }
 }
 
+// A leaving that a peer has seen holds only for the start that this node knows.
+void instance_selector::ApplyReported(tracked_instance& instance,
+                                      const outcome_entry& reported,
+                                      const std::string& peer, millis now) {
+  if (reported.outcome != attempt_outcome::kLeaving) {
+    ApplyOutcome(instance, reported.outcome, peer, now - reported.age);
+  } else if (reported.start == StartKeyOf(instance.entry.started_at)) {
+    notices_.NoteLeaving(instance.entry, peer, now);
+  }
+}
+
 void instance_selector::ForgetSilentPeers(millis now) {
   for (auto& [name, state] : peers_) {
     if (now - state.heard_at > kPeerTimeout && !state.load.empty()) {
--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -109,10 +109,15 @@
   load_change NoteEarlyOutcome(instance_key key, attempt_outcome outcome,
                                millis now);
 
-  /// Records what an answer of the instance says about it. Returns whether the
-  /// instance thereby turned out to be leaving.
-  bool NoteAnswer(const instance_entry& instance, const answer_notice& notice,
+  /// Records what an answer of the instance says about it.
+  void NoteAnswer(const instance_entry& instance, const answer_notice& notice,
                   millis now);
+  /// Drops what instances have said about themselves and holds no longer.
+  void PruneNotices(millis now) { notices_.Prune(now); }
+  /// Returns and clears the changes of notices since the last call.
+  std::vector<notice_change> TakeNoticeChanges() {
+    return notices_.TakeChanges();
+  }
   /// Returns whether a request that was chosen for the instance may still be
   /// sent there.
   [[nodiscard]] bool MaySend(const instance_entry& instance, millis now) const;
@@ -253,11 +258,15 @@
                     const std::string& told_by, millis ended_at);
   [[nodiscard]] bool AllLeave(
       const std::vector<tracked_instance*>& members) const;
-  bool NoteLeaving(instance_key key, int64_t started_at, millis now);
+  void NoteLeaving(const instance_entry& instance, millis now);
   void NoteLeavingAt(const instance_entry& address, millis now);
   void CountSuspects();
   void AssignHomes();
-  void AddRecentOutcome(instance_key key, attempt_outcome outcome, millis now);
+  /// `start` is set for kLeaving alone.
+  void AddRecentOutcome(instance_key key, attempt_outcome outcome, millis now,
+                        uint16_t start = 0);
+  void ApplyReported(tracked_instance& instance, const outcome_entry& reported,
+                     const std::string& peer, millis now);
   void SubtractLoad(const peer_state& peer);
   /// Replaces the load that the peer has reported.
   void ApplyLoad(const std::vector<load_entry>& load, peer_state& peer,
--- a/balance/instance_selector_notices.cc
+++ b/balance/instance_selector_notices.cc
@@ -14,32 +14,37 @@
 
 }  // namespace
 
-bool instance_selector::NoteAnswer(const instance_entry& instance,
+void instance_selector::NoteAnswer(const instance_entry& instance,
                                    const answer_notice& notice, millis now) {
   if (notice.is_misdirected) {
     if (notice.leaving) {
       NoteLeavingAt(instance, now);
     }
-    return false;
+    return;
   }
-  const instance_key key = KeyOf(instance.id);
   if (notice.rest > millis(0)) {
     const millis rest = std::min(notice.rest, kMaxRest);
     const double spread = std::min(
         kReturnSpread * static_cast<double>(rest.count()), kMaxReturnSpreadMs);
     const millis later(static_cast<int64_t>(spread * random_.Unit()));
-    notices_.NoteRest(key, instance.started_at, now + rest + later, now);
+    notices_.NoteRest(instance, now + rest + later, now);
+  }
+  if (notice.leaving) {
+    NoteLeaving(instance, now);
   }
-  return notice.leaving && NoteLeaving(key, instance.started_at, now);
 }
 
 // The answer may be from an earlier start than the one that is listed now.
-bool instance_selector::NoteLeaving(instance_key key, int64_t started_at,
+void instance_selector::NoteLeaving(const instance_entry& instance,
                                     millis now) {
+  const instance_key key = KeyOf(instance.id);
   const auto found = instances_.find(key);
-  const bool is_over =
-      found != instances_.end() && found->second.entry.started_at > started_at;
-  return !is_over && notices_.NoteLeaving(key, started_at, now);
+  const bool is_over = found != instances_.end() &&
+                       found->second.entry.started_at > instance.started_at;
+  if (!is_over && notices_.NoteLeaving(instance, "", now)) {
+    AddRecentOutcome(key, attempt_outcome::kLeaving, now,
+                     StartKeyOf(instance.started_at));
+  }
 }
 
 // An answer that another instance gave at the address is from the instance that
@@ -51,7 +56,7 @@
     if (instance.is_listed && instance.entry.id != address.id &&
         instance.entry.address == address.address &&
         instance.entry.port == address.port) {
-      NoteLeaving(key, instance.entry.started_at, now);
+      NoteLeaving(instance.entry, now);
     }
   }
 }
--- a/balance/load_change.cc
+++ b/balance/load_change.cc
@@ -25,6 +25,7 @@
     case attempt_outcome::kUnreachable:
       return was_held ? load_change::kSlotFreed : load_change::kHealthEvidence;
     case attempt_outcome::kMoved:
+    case attempt_outcome::kLeaving:
       return load_change::kHealthEvidence;
   }
   return load_change::kHealthEvidence;
--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -16,6 +16,39 @@
 constexpr uint8_t kReadsStoreFlag = 2;
 constexpr uint8_t kRelayFlag = 4;
 
+// Nodes of an older version refuse a report with an outcome that they do not
+// know, and ignore kUnknown, which is not reported otherwise.
+constexpr auto kLeavingCode = static_cast<uint8_t>(attempt_outcome::kUnknown);
+
+void PutOutcome(std::string& body, const outcome_entry& entry) {
+  const bool is_leaving = entry.outcome == attempt_outcome::kLeaving;
+  const auto age = static_cast<uint16_t>(
+      std::clamp<int64_t>(entry.age.count(), 0, kMaxAgeMs));
+  PutField(body, entry.instance);
+  PutField(body,
+           is_leaving ? kLeavingCode : static_cast<uint8_t>(entry.outcome));
+  PutField(body, is_leaving ? entry.start : age);
+}
+
+outcome_entry TakeOutcome(field_reader& fields, uint32_t number) {
+  outcome_entry entry;
+  entry.number = number;
+  entry.instance = fields.Take<uint32_t>();
+  const auto code = fields.Take<uint8_t>();
+  const auto value = fields.Take<uint16_t>();
+  if (code > kLeavingCode) {
+    throw codec_error("load report has an unknown outcome");
+  }
+  if (code == kLeavingCode) {
+    entry.outcome = attempt_outcome::kLeaving;
+    entry.start = value;
+  } else {
+    entry.outcome = static_cast<attempt_outcome>(code);
+    entry.age = millis(value);
+  }
+  return entry;
+}
+
 // A keyed checksum rejects damaged datagrams and those of other fleets. A full
 // signature on each of some hundred datagrams a second would cost more than it
 // is worth, since a report is only a hint about load.
@@ -29,6 +62,10 @@
   return static_cast<instance_key>(Hash64(instance_id));
 }
 
+uint16_t StartKeyOf(int64_t started_at) {
+  return static_cast<uint16_t>(started_at);
+}
+
 uint16_t ZoneKeyOf(std::string_view zone) {
   return static_cast<uint16_t>(Hash64(zone));
 }
@@ -68,10 +105,7 @@
     PutField(body, report.outcomes.front().number);
   }
   for (const outcome_entry& entry : report.outcomes) {
-    PutField(body, entry.instance);
-    PutField(body, static_cast<uint8_t>(entry.outcome));
-    PutField(body, static_cast<uint16_t>(
-                       std::clamp<int64_t>(entry.age.count(), 0, kMaxAgeMs)));
+    PutOutcome(body, entry);
   }
   PutField(body, ChecksumOf(body, fleet_key));
   return body;
@@ -114,16 +148,7 @@
   }
   uint32_t number = fields.empty() ? 0 : fields.Take<uint32_t>();
   while (!fields.empty()) {
-    outcome_entry entry;
-    entry.number = number++;
-    entry.instance = fields.Take<uint32_t>();
-    const auto outcome = fields.Take<uint8_t>();
-    if (outcome >= names_of<attempt_outcome>::kTable.size()) {
-      throw codec_error("load report has an unknown outcome");
-    }
-    entry.outcome = static_cast<attempt_outcome>(outcome);
-    entry.age = millis(fields.Take<uint16_t>());
-    report.outcomes.push_back(entry);
+    report.outcomes.push_back(TakeOutcome(fields, number++));
   }
   return report;
 }
--- a/balance/load_report.h
+++ b/balance/load_report.h
@@ -23,6 +23,9 @@
 /// Returns the key of the node whose reports come from `address`; never 0.
 uint32_t NodeKeyOf(std::string_view address);
 
+/// Returns a number that differs between most starts of an instance.
+uint16_t StartKeyOf(int64_t started_at);
+
 /// The requests that one node has in flight at one instance.
 struct load_entry {
   instance_key instance = 0;
@@ -37,6 +40,7 @@
   instance_key instance = 0;
   attempt_outcome outcome = attempt_outcome::kOk;
   millis age;  ///< Time from the outcome to the report, at most a minute.
+  uint16_t start = 0;  ///< For kLeaving, instead of the age: the start's key.
 
   bool operator==(const outcome_entry&) const = default;
 };
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -83,9 +83,8 @@
 
 void front_node::OnNotice(const instance_entry& instance,
                           const answer_notice& notice) {
-  if (selector.NoteAnswer(instance, notice, boot_clock::Now())) {
-    pool.CloseIdleTo(instance);
-  }
+  selector.NoteAnswer(instance, notice, boot_clock::Now());
+  LogHealthChanges();
 }
 
 void front_node::CountAnswer(reason why, millis taken) {
@@ -114,6 +113,39 @@
                {"suspects", selector.suspects()},
                {"instances", selector.size()}});
   }
+  for (const notice_change& change : selector.TakeNoticeChanges()) {
+    HandleNoticeChange(change);
+  }
+}
+
+void front_node::HandleNoticeChange(const notice_change& change) {
+  const std::string kind(ToName(change.kind));
+  nlohmann::ordered_json fields = {{"instance", change.instance.id},
+                                   {"service", change.instance.service},
+                                   {"started_at", change.instance.started_at},
+                                   {"told_by", change.told_by}};
+  if (change.ended) {
+    fields["notice"] = kind;
+    fields["ended"] = ToName(*change.ended);
+    log.Write("instance_notice_ended", fields);
+    return;
+  }
+  counters
+      .Counter("instance_notices_total",
+               "Instances that said that they are leaving or resting.",
+               {{"notice", kind}})
+      .Add();
+  if (change.kind == notice_kind::kResting) {
+    fields["rest_ms"] = change.rest.count();
+    fields["until_ms"] = (wall_clock::Now() + change.rest).count();
+    log.Write("instance_resting", fields);
+    return;
+  }
+  log.Write("instance_leaving", fields);
+  pool.CloseIdleTo(change.instance);
+  if (change.told_by.empty()) {
+    on_load_change(load_change::kHealthEvidence, KeyOf(change.instance.id));
+  }
 }
 
 void front_node::PublishChange(load_change change, instance_key key) {
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -91,8 +91,10 @@
   void CloseIdleCallers(millis now);
   /// Handles what an answer says about its instance.
   void OnNotice(const instance_entry& instance, const answer_notice& notice);
-  /// Logs the health changes that the selector has collected.
+  /// Logs the changes of instances that the selector has collected. Closes the
+  /// idle connections to those that are leaving, and tells the peers of them.
   void LogHealthChanges();
+  void HandleNoticeChange(const notice_change& change);
   /// The same, and tells the peers of the change at the instance.
   void PublishChange(load_change change, instance_key key);
 };
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -162,6 +162,8 @@
     co_await Sleep(executor, kHeartbeatInterval);
     const millis now = boot_clock::Now();
     node_->selector.ForgetSilentPeers(now);
+    node_->selector.PruneNotices(now);
+    node_->LogHealthChanges();
     node_->pool.CloseIdle(now);
     node_->CloseIdleCallers(now);
     CountNodes(now);
--- a/tests/balance/instance_notices_test.cc
+++ b/tests/balance/instance_notices_test.cc
@@ -36,8 +36,9 @@
   if (was_suspect) {
     SendOne(selector, attempt_outcome::kFailed, kStart);
   }
-  CHECK(selector.NoteAnswer(entries[0], kLeaving, kStart));
-  CHECK_FALSE(selector.NoteAnswer(entries[0], kLeaving, kStart));
+  selector.NoteAnswer(entries[0], kLeaving, kStart);
+  selector.NoteAnswer(entries[0], kLeaving, kStart);
+  CHECK(selector.TakeNoticeChanges().size() == 1);
   for (millis now = kStart; now < kStart + millis(600'000);
        now += millis(700)) {
     const bool is_retryable = now.count() % 2 == 0;
@@ -56,7 +57,8 @@
   selector.SetInstances(entries, kStart);
   instance_entry earlier = entry;
   earlier.started_at = 6;
-  CHECK_FALSE(selector.NoteAnswer(earlier, kLeaving, kStart));
+  selector.NoteAnswer(earlier, kLeaving, kStart);
+  CHECK(selector.TakeNoticeChanges().empty());
   CHECK(selector.MaySend(entry, kStart));
 }
 
@@ -192,5 +194,71 @@
   CHECK(DelayAfterRest(rest, millis(900), 0.999) <= rest + millis(50));
 }
 
+// Each node of a fleet sent a request of its own to a leaving instance before
+// it knew.
+TEST_CASE("leaving: the peers know before their next request") {
+  selector_fleet fleet(3);
+  std::vector<instance_entry> entries = MakeEntries(2, "s");
+  entries[0].started_at = 1'796'471'423'177;
+  fleet.SetInstances(entries, kStart);
+  fleet[0].NoteAnswer(entries[0], kLeaving, kStart);
+  fleet.Report(0, kStart);
+  for (size_t node = 0; node < fleet.size(); ++node) {
+    CHECK_FALSE(fleet[node].MaySend(entries[0], kStart));
+    CHECK(fleet[node].MaySend(entries[1], kStart));
+    CHECK(fleet[node].suspects() == 0);
+    const std::vector<notice_change> changes = fleet[node].TakeNoticeChanges();
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].told_by == (node == 0 ? "" : "node-0"));
+  }
+  // It is not passed on by those who were told.
+  CHECK(fleet[1].MakeReport(kStart).outcomes.empty());
+}
+
+TEST_CASE("leaving: a report of another start says nothing of the known one") {
+  selector_fleet fleet(2);
+  std::vector<instance_entry> entries = MakeEntries(1, "s");
+  fleet[0].SetInstances(entries, kStart);
+  fleet[0].NoteAnswer(entries[0], kLeaving, kStart);
+  entries[0].started_at = 8'000;
+  fleet[1].SetInstances(entries, kStart);
+  fleet.Report(0, kStart);
+  CHECK(fleet[1].MaySend(entries[0], kStart));
+}
+
+TEST_CASE("resting: it is not reported to the peers") {
+  selector_fleet fleet(2);
+  const std::vector<instance_entry> entries = MakeEntries(1, "s");
+  fleet.SetInstances(entries, kStart);
+  fleet[0].NoteAnswer(entries[0], Rest(millis(4'000)), kStart);
+  fleet.Report(0, kStart);
+  CHECK(fleet[0].MakeReport(kStart).outcomes.empty());
+  CHECK(fleet[1].MaySend(entries[0], kStart));
+}
+
+TEST_CASE("each notice is recorded when it begins and when it ends") {
+  instance_selector selector("a", 1);
+  std::vector<instance_entry> entries = MakeEntries(1, "s");
+  selector.SetInstances(entries, kStart);
+  selector.NoteAnswer(entries[0], Rest(millis(1'000)), kStart);
+  selector.PruneNotices(kStart + millis(900));
+  std::vector<notice_change> changes = selector.TakeNoticeChanges();
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].kind == notice_kind::kResting);
+  CHECK(changes[0].rest >= millis(1'000));
+  CHECK_FALSE(changes[0].ended);
+  const millis later = kStart + millis(1'300);
+  selector.PruneNotices(later);
+  selector.NoteAnswer(entries[0], kLeaving, later);
+  ++entries[0].started_at;
+  selector.SetInstances(entries, later);
+  changes = selector.TakeNoticeChanges();
+  REQUIRE(changes.size() == 3);
+  CHECK(changes[0].ended == notice_end::kElapsed);
+  CHECK(changes[1].kind == notice_kind::kLeaving);
+  CHECK(changes[2].ended == notice_end::kNewStart);
+  CHECK(changes[2].instance.started_at + 1 == entries[0].started_at);
+}
+
 }  // namespace
 }  // namespace peridotarch
--- a/tests/balance/load_report_test.cc
+++ b/tests/balance/load_report_test.cc
@@ -33,6 +33,19 @@
   CHECK(DecodeLoadReport(Encode(relayed, kKey), kKey) == relayed);
 }
 
+// Nodes before and after an update run in one fleet. A node that does not know
+// the outcome would refuse all reports that carry it.
+TEST_CASE("nodes of an older version read a leaving as kUnknown") {
+  load_report report = Sample();
+  report.outcomes.push_back({7, KeyOf("three"), attempt_outcome::kLeaving,
+                             millis(0), StartKeyOf(9'000)});
+  CHECK(DecodeLoadReport(Encode(report, kKey), kKey) == report);
+  load_report older = Sample();
+  older.outcomes.push_back({7, KeyOf("three"), attempt_outcome::kUnknown,
+                            millis(StartKeyOf(9'000)), 0});
+  CHECK(Encode(older, kKey) == Encode(report, kKey));
+}
+
 TEST_CASE("a report of a few entries is small") {
   CHECK(Encode(Sample(), kKey).size() < 72);
 }
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -42,6 +42,7 @@
   void Stop() { acceptor_.close(); }
 
   int served = 0;
+  int open_connections = 0;
 
  private:
   awaitable<void> Accept() {
@@ -61,6 +62,7 @@
 
   awaitable<void> ServeConnection(boost::beast::tcp_stream stream) {
     http_session session(std::move(stream));
+    ++open_connections;
     read_limits limits;
     limits.idle = millis(5'000);
     for (;;) {
@@ -79,6 +81,7 @@
           boost::asio::redirect_error(boost::asio::use_awaitable, failure));
     }
     session.Close();
+    --open_connections;
   }
 
   const handler answer_;
--- a/tests/front/instance_notice_test.cc
+++ b/tests/front/instance_notice_test.cc
@@ -292,5 +292,47 @@
   CHECK(world.node->selector.suspects() == 0);
 }
 
+// An idle connection keeps a slot of the instance's connections.
+TEST_CASE("leaving: idle connections are closed and the peers are told once") {
+  front_world world;
+  world.AddRoute("/pay/", false);
+  raw_server& instance = world.AddInstance(GoodAnswer);
+  world.SendRequest(verb::put, "/pay/1");
+  REQUIRE(instance.open_connections == 1);
+  int told = 0;
+  world.node->on_load_change = [&told](load_change change, instance_key key) {
+    told += change == load_change::kHealthEvidence ? 1 : 0;
+    CHECK(key == KeyOf("i-1"));
+  };
+  answer_notice leaving;
+  leaving.leaving = true;
+  const instance_entry entry = front_world::MakeEntry("i-1", instance.port());
+  world.node->pool.on_notice(entry, leaving);
+  world.node->pool.on_notice(entry, leaving);
+  world.RunUntil([&instance] { return instance.open_connections == 0; });
+  CHECK(instance.open_connections == 0);
+  CHECK(told == 1);
+}
+
+TEST_CASE("leaving: a report of a peer closes the idle connections too") {
+  front_world world;
+  world.AddRoute("/pay/", false);
+  raw_server& instance = world.AddInstance(GoodAnswer);
+  world.SendRequest(verb::put, "/pay/1");
+  int told = 0;
+  world.node->on_load_change = [&told](load_change, instance_key) { ++told; };
+  load_report report;
+  report.incarnation = 1;
+  report.number = 1;
+  report.outcomes = {{1, KeyOf("i-1"), attempt_outcome::kLeaving, millis(0)}};
+  world.node->selector.Apply("peer", report, boot_clock::Now());
+  world.node->LogHealthChanges();
+  world.RunUntil([&instance] { return instance.open_connections == 0; });
+  CHECK(instance.open_connections == 0);
+  CHECK(told == 0);
+  CHECK(world.SendRequest(verb::put, "/pay/1").result_int() == 503);
+  CHECK(instance.served == 1);
+}
+
 }  // namespace
 }  // namespace peridotarch
