--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -12,8 +12,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "balance/answer_notice.h"
 #include "balance/instance.h"
 #include "balance/instance_health.h"
+#include "balance/instance_notices.h"
 #include "balance/load_change.h"
 #include "balance/load_report.h"
 #include "balance/node_ring.h"
@@ -61,7 +63,7 @@
   double work_rounds = 1;  ///< Work times until the answer, queueing included.
   millis expected;         ///< Expected time until the answer.
   millis slow_after;       ///< An attempt that takes longer counts as slow.
-  millis retry_after;      ///< For kOverload: when capacity is expected.
+  millis retry_after;      ///< If none was chosen: when to expect capacity.
 };
 
 /// An instance became suspect or was cleared.
@@ -107,6 +109,22 @@
   load_change NoteEarlyOutcome(instance_key key, attempt_outcome outcome,
                                millis now);
 
+  /// Records what an answer of the instance says about it.
+  void NoteAnswer(const instance_entry& instance, const answer_notice& notice,
+                  millis now);
+  /// Drops what instances have said about themselves and holds no longer.
+  void PruneNotices(millis now) { notices_.Prune(now); }
+  /// Returns and clears the changes of notices since the last call.
+  std::vector<notice_change> TakeNoticeChanges() {
+    return notices_.TakeChanges();
+  }
+  /// Returns whether a request that was chosen for the instance may still be
+  /// sent there.
+  [[nodiscard]] bool MaySend(const instance_entry& instance, millis now) const;
+  /// Returns the time until the first instance of the service takes requests
+  /// again if all rest or are leaving; 0 if one takes requests or none returns.
+  [[nodiscard]] millis RestLeft(std::string_view service, millis now) const;
+
   /// Applies a peer's report. Outdated reports are ignored.
   void Apply(const std::string& peer, const load_report& report, millis now);
   /// Drops the load of peers that have sent no report lately.
@@ -238,9 +256,17 @@
                                 const service_stats& stats, millis now);
   void ApplyOutcome(tracked_instance& instance, attempt_outcome outcome,
                     const std::string& told_by, millis ended_at);
+  [[nodiscard]] bool AllLeave(
+      const std::vector<tracked_instance*>& members) const;
+  void NoteLeaving(const instance_entry& instance, millis now);
+  void NoteLeavingAt(const instance_entry& address, millis now);
   void CountSuspects();
   void AssignHomes();
-  void AddRecentOutcome(instance_key key, attempt_outcome outcome, millis now);
+  /// `start` is set for kLeaving alone.
+  void AddRecentOutcome(instance_key key, attempt_outcome outcome, millis now,
+                        uint16_t start = 0);
+  void ApplyReported(tracked_instance& instance, const outcome_entry& reported,
+                     const std::string& peer, millis now);
   void SubtractLoad(const peer_state& peer);
   /// Replaces the load that the peer has reported.
   void ApplyLoad(const std::vector<load_entry>& load, peer_state& peer,
@@ -251,6 +277,7 @@
   size_t zone_nodes_ = 1;  ///< Live nodes in this zone, with this one.
   random_bits random_;
   std::unordered_map<instance_key, tracked_instance> instances_;
+  instance_notices notices_;
   std::map<std::string, std::vector<tracked_instance*>, std::less<>>
       by_service_;
   std::map<std::string, service_stats, std::less<>> stats_;
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "balance/retry_delay.h"
 #include "front/caller_session.h"
 
 namespace peridotarch {
@@ -31,7 +32,15 @@
       pool(io),
       random(seed + 1),
       log(settings.node),
-      retries(settings.retries) {}
+      retries(settings.retries) {
+  pool.on_notice = [this](const instance_entry& instance,
+                          const answer_notice& notice) {
+    OnNotice(instance, notice);
+  };
+  pool.may_send = [this](const instance_entry& instance) {
+    return selector.MaySend(instance, boot_clock::Now());
+  };
+}
 
 config_version front_node::ConfigVersion() const {
   const auto in_force = routes.Load();
@@ -62,6 +71,22 @@
                                      (kMinFactor + random.Unit())));
 }
 
+millis front_node::RetryAfter(const std::string& service, millis usual,
+                              millis time_left) {
+  if (usual == millis(0)) {
+    return usual;
+  }
+  const millis rest = selector.RestLeft(service, boot_clock::Now());
+  return rest > millis(0) ? DelayAfterRest(rest, time_left, random.Unit())
+                          : Jitter(usual);
+}
+
+void front_node::OnNotice(const instance_entry& instance,
+                          const answer_notice& notice) {
+  selector.NoteAnswer(instance, notice, boot_clock::Now());
+  LogHealthChanges();
+}
+
 void front_node::CountAnswer(reason why, millis taken) {
   counters
       .Counter("answers_total", "Answers to callers by reason.",
@@ -88,6 +113,39 @@
                {"suspects", selector.suspects()},
                {"instances", selector.size()}});
   }
+  for (const notice_change& change : selector.TakeNoticeChanges()) {
+    HandleNoticeChange(change);
+  }
+}
+
+void front_node::HandleNoticeChange(const notice_change& change) {
+  const std::string kind(ToName(change.kind));
+  nlohmann::ordered_json fields = {{"instance", change.instance.id},
+                                   {"service", change.instance.service},
+                                   {"started_at", change.instance.started_at},
+                                   {"told_by", change.told_by}};
+  if (change.ended) {
+    fields["notice"] = kind;
+    fields["ended"] = ToName(*change.ended);
+    log.Write("instance_notice_ended", fields);
+    return;
+  }
+  counters
+      .Counter("instance_notices_total",
+               "Instances that said that they are leaving or resting.",
+               {{"notice", kind}})
+      .Add();
+  if (change.kind == notice_kind::kResting) {
+    fields["rest_ms"] = change.rest.count();
+    fields["until_ms"] = (wall_clock::Now() + change.rest).count();
+    log.Write("instance_resting", fields);
+    return;
+  }
+  log.Write("instance_leaving", fields);
+  pool.CloseIdleTo(change.instance);
+  if (change.told_by.empty()) {
+    on_load_change(load_change::kHealthEvidence, KeyOf(change.instance.id));
+  }
 }
 
 void front_node::PublishChange(load_change change, instance_key key) {
