Fuzzers for records and pages of the store, and for load reports

New targets, which scripts/fuzz finds by itself:

- entry: DecodeInstance, also with a key from the input, DecodeConfig and DecodeNode; what is taken is in range, errors are short.
- page: the store's raw page, the page in JSON (of the store and of mirrors), and base64.
- load: SplitReports with a foreign key; a signed report of any content decodes to what encodes and decodes to the same.

The whole of scripts/fuzz was not run.

--- a/tests/fuzz/write_seeds.cc
+++ b/tests/fuzz/write_seeds.cc
@@ -5,11 +5,15 @@
 #include <msgpack.hpp>
 #include <string>
 
+#include "balance/load_report.h"
+#include "balance/report_fields.h"
 #include "config/parse.h"
 #include "detection/ejection_record.h"
 #include "inner/gossip.h"
 #include "inner/report.h"
 #include "inner/seal.h"
+#include "platform/base64.h"
+#include "platform/store_records.h"
 #include "request/claim_record.h"
 
 namespace peridotarch {
@@ -103,6 +107,61 @@
   Write(directory + "/query", EncodeTimelineQuery({kNow}));
 }
 
+constexpr const char* kEntry =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":3,)"
+    R"("state":"ready","warmup_left_s":1.5,"seq":4,"born":5})";
+
+void WriteStoreRecords(const std::string& directory) {
+  Write(directory + "/entry", kEntry);
+  Write(directory + "/keyed-entry", std::string("i-1\n") + kEntry);
+  Write(directory + "/config",
+        R"({"version":"r7","routes":[{"name":"n","host":"h","path_prefix":"/",)"
+        R"("kind":"safe","timeout_s":1.2,"priority":1,"max_attempts":2,)"
+        R"("traffic_split":[{"service":"s","weight":9}]}],"services":)"
+        R"([{"name":"s","max_connections":3}],"limits":{"max_header_bytes":9,)"
+        R"("max_body_bytes":9,"header_timeout_s":3,"idle_timeout_s":15}})");
+  Write(directory + "/node", Encode(node_record{"n", {"10.0.0.1", 7100}}));
+}
+
+void WritePages(const std::string& directory) {
+  Write(directory + "/newest",
+        R"({"items":[{"key":"i-1","value":")" + ToBase64(kEntry) +
+            R"("},{"key":"i-2"}],"has_more":true,"changes_only":true,)" +
+            R"("end_offset":7})");
+  Write(directory + "/base64", "Zm9vYg==");
+  Write(directory + "/padding",
+        R"({"items":[{"key":"i","value":"===="}],"has_more":false,)"
+        R"("end_offset":7})");
+  std::string page;
+  PutField(page, uint64_t{9});
+  PutField(page, uint64_t{5});
+  const std::string record = std::string("\x03i-1") + kEntry;
+  PutField(page, static_cast<uint32_t>(record.size()));
+  Write(directory + "/raw", page + record);
+}
+
+// Reports without the checksum, which the fuzzer adds.
+void WriteLoadReports(const std::string& directory) {
+  constexpr size_t kChecksumBytes = 4;
+  load_report report;
+  report.incarnation = 7;
+  report.number = 3;
+  report.config_version = 12;
+  report.load = {{KeyOf("one"), 3}};
+  report.usage = {{KeyOf("s"), 900, 12}};
+  report.outcomes = {{5, KeyOf("one"), attempt_outcome::kOk, millis(9)}};
+  const auto write = [&](const std::string& name) {
+    const std::string datagram = Encode(report, "");
+    Write(directory + "/" + name,
+          datagram.substr(0, datagram.size() - kChecksumBytes));
+  };
+  write("plain");
+  report.relay_for = 5;
+  write("relayed");
+  report.config_version = (uint64_t{5} << 32) + 12;
+  write("upper-halves");
+}
+
 }  // namespace
 }  // namespace peridotarch
 
@@ -118,5 +177,8 @@
   WriteClaims(corpus + "/claim");
   WriteRecords(corpus + "/record");
   WriteReports(corpus + "/report");
+  WriteStoreRecords(corpus + "/entry");
+  WritePages(corpus + "/page");
+  WriteLoadReports(corpus + "/load");
   return 0;
 }
