Bytes behind an answer of the store or of a peer are not the next answer

What could be seen: a node whose store or peer wrote an answer once more took it for the answer to its next call, and so read an older page, one call behind from then on.

Cause: IsOpen looks for unread bytes at the socket only; those that were read together with the answer stay in the buffer.

Test: http_client_test "bytes behind an answer". It passed on the code before as well, as the second answer had not been read with the first one there; it guards the case and does not show it.

--- a/tests/platform/http_client_test.cc
+++ b/tests/platform/http_client_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <catch2/catch.hpp>
@@ -68,5 +69,48 @@
   REQUIRE(own_answers == kCalls);
 }
 
+// Answers the first request of each connection with its target, twice.
+awaitable<void> EchoTwice(tcp::acceptor& acceptor) {
+  for (;;) {
+    boost::beast::tcp_stream stream(
+        co_await acceptor.async_accept(asio::use_awaitable));
+    boost::beast::flat_buffer buffer;
+    http_request request;
+    co_await http::async_read(stream, buffer, request, asio::use_awaitable);
+    const std::string target(request.target());
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(target.size()) +
+        "\r\n\r\n" + target;
+    const std::string twice = answer + answer;
+    co_await asio::async_write(stream, asio::buffer(twice),
+                               asio::use_awaitable);
+  }
+}
+
+// A server that sent an answer once more had it taken for the next one, so a
+// read of the store gave an older page or another topic's.
+TEST_CASE("bytes behind an answer are not the answer to the next call") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  asio::co_spawn(context, EchoTwice(acceptor), asio::detached);
+  http_client client(context.get_executor(),
+                     {"127.0.0.1", acceptor.local_endpoint().port()});
+  std::string second;
+  asio::co_spawn(
+      context,
+      [&]() -> awaitable<void> {
+        http_request first_call(http::verb::get, "/first", 11);
+        co_await client.Exchange(std::move(first_call), millis(2000));
+        http_request second_call(http::verb::get, "/second", 11);
+        const http_response answer =
+            co_await client.Exchange(std::move(second_call), millis(2000));
+        second = answer.body();
+        context.stop();
+      },
+      asio::detached);
+  context.run_for(std::chrono::seconds(5));
+  CHECK(second == "/second");
+}
+
 }  // namespace
 }  // namespace peridotarch
