Late nodes read the store for themselves alone

What could be seen: under overload, when many nodes are late at once, each of them announced the change to the fleet with the end of the topic as its position, so that nodes which had the change took themselves for late; and a node whose late read the store rejected held back removals for 1.7 s and kept both topics at the store.

Cause: a read made because peers are late used the code of the readers, which read for their zone.

Change: only readers announce, call themselves readers, and take a failure for an outage; a late node tells some peers that it has caught up. A retry of a late node is spread. A record that the store does not have is ignored when it is announced again. The limit is 0.7 s, since a change from another zone comes after up to 0.5 s.

The new front test was not run on the code before.

--- a/balance/record_lag.cc
+++ b/balance/record_lag.cc
@@ -8,19 +8,19 @@
 
 // Later announcements are merged into the last one.
 constexpr size_t kMaxMissing = 32;
-// Covers a node's turn in its zone and one read at a peer. What is left of two
-// seconds then suffices for a read of the store.
-constexpr millis kMaxBehind(500);
+// Covers the wait for a reader of the own zone, a node's turn there and a read
+// at a peer. What is left of two seconds suffices for a read of the store.
+constexpr millis kMaxBehind(700);
 
 }  // namespace
 
 void record_lag::NoteAnnounced(uint64_t position, millis now) {
-  if (position <= known_ ||
+  if (position <= known_ || position == absent_ ||
       (!missing_.empty() && position <= missing_.back().position)) {
     return;
   }
   if (missing_.size() == kMaxMissing) {
-    missing_.back().position = position;
+    missing_.back() = {position, now};
     return;
   }
   missing_.push_back({position, now});
@@ -35,6 +35,7 @@
 
 void record_lag::NoteStoreRead(millis began_at) {
   while (!missing_.empty() && missing_.front().first_heard_at <= began_at) {
+    absent_ = missing_.front().position;
     missing_.pop_front();
   }
 }
--- a/balance/record_lag.h
+++ b/balance/record_lag.h
@@ -20,7 +20,7 @@
   void NoteKnown(uint64_t position);
   /// Notes a successful read of the store that began at `began_at`. It returned
   /// all records that existed then, so what was announced before and is still
-  /// missing does not exist.
+  /// missing does not exist, and is ignored if it is announced again.
   void NoteStoreRead(millis began_at);
 
   /// Returns when a peer first announced the oldest record that this node
@@ -39,6 +39,7 @@
   };
 
   uint64_t known_ = 0;
+  uint64_t absent_ = 0;               ///< Announced, but not in the store.
   std::deque<announcement> missing_;  ///< By rising position and time.
 };
 
--- a/front/followed_topic.h
+++ b/front/followed_topic.h
@@ -31,9 +31,8 @@
   store_client client;
   std::optional<uint64_t> next_offset;  ///< Where to read on.
   record_lag lag;
-  bool reached = true;          ///< The last read of the store succeeded.
+  bool reached = true;          ///< The last read as a reader succeeded.
   bool read_waits = false;      ///< The next read waits for a change.
-  bool was_delegated = false;   ///< Since the last read of the store.
   bool is_catching_up = false;  ///< A read at a peer is in progress.
   peer_ahead source;            ///< The peer to catch up with.
   /// Runs while this node waits for a reader of its own zone.
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -66,17 +66,20 @@
   Spawn([this] { return Announce(); });
 }
 
-void store_watch::NoteStoreCall(bool reached, std::string_view call,
+// A read that a node makes because its peers are late tells nothing of an
+// outage: it may fail because many nodes make it at once.
+void store_watch::NoteStoreCall(bool reached, bool as_reader,
+                                std::string_view call,
                                 const std::string& detail) {
   node_->counters
       .Counter(
           "store_calls_total", "Calls to the store by result.",
           {{"call", std::string(call)}, {"result", reached ? "ok" : "failed"}})
       .Add();
-  if (!reached) {
+  if (!reached && as_reader) {
     list_.NoteStoreUnreachable();
   }
-  node_->reads_store = reached;
+  node_->reads_store = reached && as_reader;
   if (reached != store_reached_) {
     store_reached_ = reached;
     node_->log.Write(reached ? "store_reached" : "store_lost",
@@ -153,12 +156,13 @@
   return true;
 }
 
-// A node may have missed many changes. Reading them one after the other takes
-// the longer the more it has missed, so it reads the newest values instead.
+// Reading many changes one after the other takes the longer the more a node has
+// missed. It reads the newest values instead if it knows that it is behind, or
+// if the changes do not fit into a short answer.
 awaitable<void> store_watch::ReadStore(followed_topic& topic) {
   const millis began_at = boot_clock::Now();
   keyed_page page;
-  bool reads_newest = !topic.next_offset || topic.was_delegated;
+  bool reads_newest = !topic.next_offset || topic.lag.BehindSince();
   if (!reads_newest) {
     // A read that waits does not show whether the store is reachable. The first
     // read after a failure therefore does not wait.
@@ -173,7 +177,6 @@
   if (reads_newest) {
     page = co_await topic.client.Newest(topic.name, kStoreCallTimeout);
   }
-  topic.was_delegated = false;
   if (Apply(topic, page, kSourceStore)) {
     AnnounceChange(topic);
   }
@@ -198,6 +201,10 @@
          !topic.lag.IsOverdue(boot_clock::Now());
 }
 
+bool store_watch::IsReader() const {
+  return !node_->HasRecords() || node_->must_read_store();
+}
+
 // A node that starts alone finds peers that have the records. At the first
 // start of the fleet one node of each zone reads them for the others. When all
 // nodes restart no peer has them, and each reads the store without delay.
@@ -281,14 +288,28 @@
   return true;
 }
 
-// Tells the nodes for which this one reads the store.
+// A reader tells the nodes for which it reads the store.
 void store_watch::AnnounceChange(const followed_topic& topic) {
+  if (!IsReader()) {
+    NoteCaughtUp(topic, PositionOf(topic.source, topic));
+    return;
+  }
   if (!IsConfig(topic)) {
     node_->instances_changed_at = node_->instances_offset;
   }
   node_->on_load_change(load_change::kRecordsChanged, 0);
 }
 
+void store_watch::NoteCaughtUp(const followed_topic& topic, uint64_t position) {
+  record_offset& changed_at = node_->instances_changed_at;
+  if (!IsConfig(topic) && changed_at == record_offset()) {
+    changed_at = node_->instances_offset;
+  } else if (!IsConfig(topic) && node_->instances_offset >= position) {
+    changed_at = std::max(changed_at, record_offset(position));
+  }
+  node_->on_load_change(load_change::kCaughtUp, 0);
+}
+
 millis store_watch::ReadWait(const followed_topic& topic) const {
   if (IsConfig(topic)) {
     return kConfigWait;
@@ -296,19 +317,21 @@
   return list_.HasPendingRemovals() ? kPendingRemovalWait : kInstancesWait;
 }
 
-millis store_watch::PauseAfterRead(const followed_topic& topic) const {
+millis store_watch::PauseAfterRead(const followed_topic& topic,
+                                   bool reached) const {
   const bool is_known = IsConfig(topic) ? node_->routes.Load() != nullptr
                                         : node_->instances_known;
-  if (!is_known && (!IsConfig(topic) || !topic.reached)) {
+  if (!is_known && (!IsConfig(topic) || !reached)) {
     return kStartupRetryDelay;
   }
-  if (IsConfig(topic)) {
-    return topic.reached ? millis(0) : kStoreRetryDelay;
-  }
-  if (list_.HasPendingRemovals()) {
+  if (!IsConfig(topic) && list_.HasPendingRemovals()) {
     return kPendingRemovalWait;
   }
-  return topic.reached ? kInstancesPause : kStoreRetryDelay;
+  if (!reached) {
+    // Many nodes may be late at the same moment.
+    return IsReader() ? kStoreRetryDelay : node_->Jitter(kStoreRetryDelay);
+  }
+  return IsConfig(topic) ? millis(0) : kInstancesPause;
 }
 
 awaitable<void> store_watch::Follow(followed_topic& topic) {
@@ -316,29 +339,30 @@
   for (;;) {
     if (DelegatesReads(topic)) {
       topic.read_waits = false;
-      topic.was_delegated = true;
       node_->reads_store = false;
       co_await Sleep(executor, DelegationPollInterval(topic));
       continue;
     }
+    const bool as_reader = IsReader();
     std::string failed;
     try {
       co_await ReadStore(topic);
     } catch (const platform_error& failure) {
       failed = failure.what();
     }
-    topic.reached = failed.empty();
-    topic.read_waits = topic.reached;
-    NoteStoreCall(topic.reached, IsConfig(topic) ? "config" : "instances",
+    const bool reached = failed.empty();
+    topic.reached = reached || !as_reader;
+    topic.read_waits = reached;
+    NoteStoreCall(reached, as_reader, IsConfig(topic) ? "config" : "instances",
                   failed);
-    if (!topic.reached) {
+    if (!reached) {
       const endpoint peer = NextMirror();
       co_await ReadFromPeer(topic, peer);
     }
     if (!IsConfig(topic) && PublishInstances(kSourceStore)) {
       AnnounceChange(topic);
     }
-    co_await Sleep(executor, PauseAfterRead(topic));
+    co_await Sleep(executor, PauseAfterRead(topic, reached));
   }
 }
 
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -58,7 +58,11 @@
   bool PutConfigInForce(fleet_config config, std::string_view source);
   bool PublishInstances(std::string_view source);
   void AnnounceChange(const followed_topic& topic);
+  /// Tells some nodes that this one has the records up to `position`.
+  void NoteCaughtUp(const followed_topic& topic, uint64_t position);
   [[nodiscard]] bool DelegatesReads(const followed_topic& topic) const;
+  /// Returns whether this node reads the store for others, or has no records.
+  [[nodiscard]] bool IsReader() const;
   /// Returns whether this node, which lacks records, waits for a peer's.
   [[nodiscard]] bool WaitsForPeers() const;
   /// Returns how long this node waits to be listed and to list the others.
@@ -67,8 +71,9 @@
   [[nodiscard]] millis MaxPeerWait() const;
   [[nodiscard]] millis DelegationPollInterval(
       const followed_topic& topic) const;
-  [[nodiscard]] millis PauseAfterRead(const followed_topic& topic) const;
-  void NoteStoreCall(bool reached, std::string_view call,
+  [[nodiscard]] millis PauseAfterRead(const followed_topic& topic,
+                                      bool reached) const;
+  void NoteStoreCall(bool reached, bool as_reader, std::string_view call,
                      const std::string& detail);
 
   const std::shared_ptr<front_node> node_;
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -124,11 +124,7 @@
   const endpoint remote{peer.address, node_->settings.control.port};
   if (position > PositionIn(topic)) {
     co_await ReadFromPeer(topic, remote);
-    if (!IsConfig(topic) && node_->instances_offset >= position) {
-      node_->instances_changed_at =
-          std::max(node_->instances_changed_at, record_offset(position));
-    }
-    node_->on_load_change(load_change::kCaughtUp, 0);
+    NoteCaughtUp(topic, position);
   }
   co_await Sleep(executor, kCatchUpPause);
 }
--- a/tests/front/catch_up_test.cc
+++ b/tests/front/catch_up_test.cc
@@ -65,10 +65,48 @@
   const auto node =
       StartDelegatingNode(world, store.port(), peer.port(), &watch);
   config = ConfigOf(5);
+  int announced = 0;
+  node->on_load_change = [&announced](load_change change, instance_key) {
+    announced += change == load_change::kRecordsChanged ? 1 : 0;
+  };
   watch->CatchUp({"127.0.0.1", 5, 0, false});
   world.RunUntil([&node] { return node->ConfigVersion() == 5; }, kBound);
   CHECK(node->ConfigVersion() == 5);
   CHECK_FALSE(node->reads_store);
+  // It is one of many that read for themselves alone.
+  CHECK(announced == 0);
+}
+
+// Many late nodes may be rejected at once. That is no outage of the store.
+TEST_CASE("a late node that the store rejects still drops what has left") {
+  front_world world;
+  bool rejects = false;
+  raw_server store(world.context, [&rejects](const http_request& request) {
+    return rejects ? "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n"
+                   : AnswerAsStore(request);
+  });
+  bool answers = false;
+  raw_server peer(world.context, [&answers](const http_request&) {
+    return answers ? OkAnswer(nlohmann::json{
+                         {"items", nlohmann::json::array()},
+                         {"has_more", false},
+                         {"end_offset",
+                          9}}.dump())
+                   : std::string();
+  });
+  store_watch* watch = nullptr;
+  const auto node =
+      StartDelegatingNode(world, store.port(), peer.port(), &watch);
+  rejects = true;
+  watch->CatchUp({"127.0.0.1", 4, 9, false});
+  world.RunUntil([] { return false; }, millis(1'200));
+  answers = true;
+  const millis announced_at = boot_clock::Now();
+  watch->CatchUp({"127.0.0.1", 4, 9, false});
+  world.RunUntil(
+      [&node] { return node->selector.Find(KeyOf("i-1")) == nullptr; });
+  CHECK(node->selector.Find(KeyOf("i-1")) == nullptr);
+  CHECK(boot_clock::Now() - announced_at < millis(500));
 }
 
 // The instances were read after the configuration, so a leaving became known
