Handlers of store_watch hold no bare this

The lint check of the ownership rule and the formatter refused the merged code: loops are started with functions that take the object, which the loop keeps alive.

No functional change.

--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -53,17 +53,18 @@
                    record_server::kStore) {}
 
 // The coroutine keeps this object alive until the loop has ended.
-void store_watch::Spawn(std::function<awaitable<void>()> run) {
-  SpawnLoop(
-      node_->context, "store_watch",
-      [self = shared_from_this(), run = std::move(run)]() { return run(); });
+void store_watch::Spawn(std::function<awaitable<void>(store_watch&)> run) {
+  SpawnLoop(node_->context, "store_watch",
+            [self = shared_from_this(), run = std::move(run)]() {
+              return run(*self);
+            });
 }
 
 void store_watch::Start(std::function<void(const host_port&)> on_peer) {
   on_peer_ = std::move(on_peer);
-  Spawn([this] { return Follow(config_); });
-  Spawn([this] { return Follow(instances_); });
-  Spawn([this] { return Announce(); });
+  Spawn([](store_watch& watch) { return watch.Follow(watch.config_); });
+  Spawn([](store_watch& watch) { return watch.Follow(watch.instances_); });
+  Spawn([](store_watch& watch) { return watch.Announce(); });
 }
 
 // A read that a node makes because its peers are late tells nothing of an
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -30,7 +30,7 @@
   void CatchUp(const peer_ahead& peer);
 
  private:
-  void Spawn(std::function<awaitable<void>()> run);
+  void Spawn(std::function<awaitable<void>(store_watch&)> run);
   /// Reads a topic at the store or has other nodes read it.
   awaitable<void> Follow(followed_topic& topic);
   awaitable<void> Announce();
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -92,7 +92,7 @@
     }
     if (!topic->is_catching_up) {
       topic->is_catching_up = true;
-      Spawn([this, topic] { return CatchUpTopic(*topic); });
+      Spawn([topic](store_watch& watch) { return watch.CatchUpTopic(*topic); });
     }
   }
 }
--- a/tests/front/odd_records_test.cc
+++ b/tests/front/odd_records_test.cc
@@ -216,8 +216,7 @@
          7}}.dump());
   });
   store_client client(following.world.context.get_executor(),
-                      {"127.0.0.1", store.port()},
-                      record_server::kStore);
+                      {"127.0.0.1", store.port()}, record_server::kStore);
   std::optional<keyed_page> page;
   boost::asio::co_spawn(
       following.world.context,
