Loops that accept connections own their acceptors

The lint check of the ownership rule found three functions started with a reference to what the daemon's frame holds. No fault followed, as the frame outlives the loop; they share the acceptor now.

No functional change.

--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -50,12 +50,12 @@
 using connection_handler =
     std::function<awaitable<void>(boost::beast::tcp_stream)>;
 
-awaitable<void> AcceptConnections(tcp::acceptor& acceptor,
+awaitable<void> AcceptConnections(std::shared_ptr<tcp::acceptor> acceptor,
                                   connection_handler handle_connection) {
-  const asio::any_io_executor executor = acceptor.get_executor();
-  while (acceptor.is_open()) {
+  const asio::any_io_executor executor = acceptor->get_executor();
+  while (acceptor->is_open()) {
     error_code failure;
-    tcp::socket socket = co_await acceptor.async_accept(
+    tcp::socket socket = co_await acceptor->async_accept(
         asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
       // The process is out of file descriptors, or the caller disconnected
@@ -227,11 +227,13 @@
   });
   LogSettings(*node, "started");
   std::signal(SIGPIPE, SIG_IGN);
-  tcp::acceptor callers = Listen(context, settings.callers, kBacklog);
-  tcp::acceptor ready = Listen(context, settings.ready, kBacklog);
-  tcp::acceptor metrics =
-      Listen(context, {settings.callers.host, settings.metrics_port}, kBacklog);
-  tcp::acceptor control = Listen(context, settings.control, kBacklog);
+  const auto listen = [&context](const host_port& where) {
+    return std::make_shared<tcp::acceptor>(Listen(context, where, kBacklog));
+  };
+  const auto callers = listen(settings.callers);
+  const auto ready = listen(settings.ready);
+  const auto metrics = listen({settings.callers.host, settings.metrics_port});
+  const auto control = listen(settings.control);
   const auto peers = std::make_shared<peer_reporter>(node);
   const auto store = std::make_shared<store_watch>(node);
   SpawnLogged(context, "shutdown",
@@ -254,12 +256,12 @@
       [node](boost::beast::tcp_stream stream) {
         return ServeCallerConnection(node, std::move(stream));
       };
-  for (tcp::acceptor* acceptor : {&ready, &metrics, &control}) {
+  for (const auto& acceptor : {ready, metrics, control}) {
     SpawnLoop(context, "accept", [acceptor, serve_admin] {
-      return AcceptConnections(*acceptor, serve_admin);
+      return AcceptConnections(acceptor, serve_admin);
     });
   }
-  SpawnLoop(context, "accept", [&callers, serve_caller] {
+  SpawnLoop(context, "accept", [callers, serve_caller] {
     return AcceptConnections(callers, serve_caller);
   });
   context.run();
--- a/proxy/daemon.cc
+++ b/proxy/daemon.cc
@@ -37,16 +37,16 @@
 
 using serve = std::function<awaitable<void>(boost::beast::tcp_stream)>;
 
-awaitable<void> Accept(asio::io_context& context,
-                       std::shared_ptr<tcp::acceptor> acceptor, serve run) {
+awaitable<void> Accept(std::shared_ptr<tcp::acceptor> acceptor, serve run) {
+  const asio::any_io_executor executor = acceptor->get_executor();
   while (acceptor->is_open()) {
     boost::system::error_code failure;
-    tcp::socket socket(asio::make_strand(context));
+    tcp::socket socket(asio::make_strand(executor));
     co_await acceptor->async_accept(
         socket, asio::redirect_error(asio::use_awaitable, failure));
     if (failure) {
       // Out of descriptors, or the caller left in the backlog.
-      co_await Sleep(context.get_executor(), kQuietCheck);
+      co_await Sleep(executor, kQuietCheck);
       continue;
     }
     socket.set_option(tcp::no_delay(true), failure);
@@ -139,12 +139,10 @@
   const serve serve_peer = [here, loops](boost::beast::tcp_stream stream) {
     return ServePeer(here, loops, std::move(stream));
   };
-  SpawnLoop(context, "accept_callers", [&context, callers, serve_caller] {
-    return Accept(context, callers, serve_caller);
-  });
-  SpawnLoop(context, "accept_peers", [&context, inner, serve_peer] {
-    return Accept(context, inner, serve_peer);
-  });
+  SpawnLoop(context, "accept_callers",
+            [callers, serve_caller] { return Accept(callers, serve_caller); });
+  SpawnLoop(context, "accept_peers",
+            [inner, serve_peer] { return Accept(inner, serve_peer); });
   LOG(INFO) << "node " << settings.node << " serves callers on "
             << settings.address << ":" << settings.port << " and the fleet on "
             << settings.inner_port;
