A reader that the store has refused reads on until it succeeds

More nodes were refused than before, as a node gave up its name as a reader when it left the reads to others, and all of a zone then read at once.

Ruled out: the peers' announcements (behind_ms is 3 to 51 at all nodes).

Change: only a read that a node makes because it is late, and for no other reason, is left out of what a reader's read means. A node keeps its name as a reader as it did before.

Test: catch_up_test "a reader that the store has refused"; it failed on the code before (the removal took more than 500 ms).

--- a/front/front_node.h
+++ b/front/front_node.h
@@ -62,7 +62,7 @@
   /// Records that this node has read from the store or from a peer.
   store_mirror mirror;
   int record_reads_served = 0;  ///< Reads of the mirror in progress.
-  /// The node reads the store itself, and the last read succeeded.
+  /// The last read of the store that the node made as a reader succeeded.
   bool reads_store = false;
   /// Nodes of the fleet with a recent report, including this one.
   int live_nodes = 1;
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -80,7 +80,9 @@
   if (!reached && as_reader) {
     list_.NoteStoreUnreachable();
   }
-  node_->reads_store = reached && as_reader;
+  if (as_reader) {
+    node_->reads_store = reached;
+  }
   if (reached != store_reached_) {
     store_reached_ = reached;
     node_->log.Write(reached ? "store_reached" : "store_lost",
@@ -198,12 +200,14 @@
   if (!node_->HasRecords()) {
     return WaitsForPeers();
   }
-  return !list_.HasPendingRemovals() && !node_->must_read_store() &&
-         !topic.lag.IsOverdue(boot_clock::Now());
+  return !IsReader() && !topic.lag.IsOverdue(boot_clock::Now());
 }
 
+// A reader that the store has refused goes on until it has read both topics,
+// even if others read for it by then: its list is that of an outage until then.
 bool store_watch::IsReader() const {
-  return !node_->HasRecords() || node_->must_read_store();
+  return !node_->HasRecords() || node_->must_read_store() || !config_.reached ||
+         !instances_.reached || list_.HasPendingRemovals();
 }
 
 // A node that starts alone finds peers that have the records. At the first
@@ -340,7 +344,6 @@
   for (;;) {
     if (DelegatesReads(topic)) {
       topic.read_waits = false;
-      node_->reads_store = false;
       co_await Sleep(executor, DelegationPollInterval(topic));
       continue;
     }
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -61,7 +61,8 @@
   /// Tells some nodes that this one has the records up to `position`.
   void NoteCaughtUp(const followed_topic& topic, uint64_t position);
   [[nodiscard]] bool DelegatesReads(const followed_topic& topic) const;
-  /// Returns whether this node reads the store for others, or has no records.
+  /// Returns whether this node reads the store for others or after an outage,
+  /// and not only because it is late.
   [[nodiscard]] bool IsReader() const;
   /// Returns whether this node, which lacks records, waits for a peer's.
   [[nodiscard]] bool WaitsForPeers() const;
--- a/tests/front/catch_up_test.cc
+++ b/tests/front/catch_up_test.cc
@@ -65,6 +65,7 @@
   const auto node =
       StartDelegatingNode(world, store.port(), peer.port(), &watch);
   config = ConfigOf(5);
+  node->reads_store = false;
   int announced = 0;
   node->on_load_change = [&announced](load_change change, instance_key) {
     announced += change == load_change::kRecordsChanged ? 1 : 0;
@@ -77,6 +78,43 @@
   CHECK(announced == 0);
 }
 
+// The node left the reads to others once a late read had failed, and held back
+// removals as in an outage that was over (hunt on smsvt-gateway, DRAIN).
+TEST_CASE("a reader that the store has refused reads on until it succeeds") {
+  front_world world;
+  bool rejects = false;
+  raw_server store(world.context, [&rejects](const http_request& request) {
+    return rejects ? "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n"
+                   : AnswerAsStore(request);
+  });
+  raw_server peer(world.context, [](const http_request&) {
+    return OkAnswer(nlohmann::json{
+        {"items", nlohmann::json::array()},
+        {"has_more", false},
+        {"end_offset",
+         9}}.dump());
+  });
+  const auto node = MakeNode(world.context, store.port(), peer.port());
+  const auto watch = std::make_shared<store_watch>(node);
+  watch->Start([](const host_port&) {});
+  world.RunUntil([&node] { return node->Ready(); });
+  REQUIRE(node->Ready());
+  node->live_nodes = 2;  // it does not turn to a seed
+  rejects = true;
+  world.RunUntil([&node] { return !node->reads_store; });
+  REQUIRE_FALSE(node->reads_store);
+  node->must_read_store = [] { return false; };
+  world.RunUntil([] { return false; }, millis(1'500));
+  rejects = false;
+  world.RunUntil([] { return false; }, millis(1'500));
+  const millis announced_at = boot_clock::Now();
+  watch->CatchUp({"127.0.0.1", 4, 9, false});
+  world.RunUntil(
+      [&node] { return node->selector.Find(KeyOf("i-1")) == nullptr; });
+  CHECK(node->selector.Find(KeyOf("i-1")) == nullptr);
+  CHECK(boot_clock::Now() - announced_at < millis(500));
+}
+
 // Many late nodes may be rejected at once. That is no outage of the store.
 TEST_CASE("a late node that the store rejects still drops what has left") {
   front_world world;
