--- a/tests/front/catch_up_test.cc
+++ b/tests/front/catch_up_test.cc
@@ -29,6 +29,23 @@
   return request.target().find("keyed.op") != std::string_view::npos;
 }
 
+// The answer of a mirror at offset 9 that knows no instance.
+std::string NoInstancesAnswer() {
+  return OkAnswer(nlohmann::json{
+      {"items", nlohmann::json::array()},
+      {"has_more", false},
+      {"end_offset",
+       9}}.dump());
+}
+
+// Answers as a store that rejects all calls while `rejects` is set.
+raw_server::handler RejectsIf(const bool& rejects) {
+  return [&rejects](const http_request& request) {
+    return rejects ? "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n"
+                   : AnswerAsStore(request);
+  };
+}
+
 // Runs a node until it has version 4 and an instance from the store; from then
 // on it leaves the reads of the store to others.
 std::shared_ptr<front_node> StartDelegatingNode(front_world& world,
@@ -83,17 +100,9 @@
 TEST_CASE("a reader that the store has refused reads on until it succeeds") {
   front_world world;
   bool rejects = false;
-  raw_server store(world.context, [&rejects](const http_request& request) {
-    return rejects ? "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n"
-                   : AnswerAsStore(request);
-  });
-  raw_server peer(world.context, [](const http_request&) {
-    return OkAnswer(nlohmann::json{
-        {"items", nlohmann::json::array()},
-        {"has_more", false},
-        {"end_offset",
-         9}}.dump());
-  });
+  raw_server store(world.context, RejectsIf(rejects));
+  raw_server peer(world.context,
+                  [](const http_request&) { return NoInstancesAnswer(); });
   const auto node = MakeNode(world.context, store.port(), peer.port());
   const auto watch = std::make_shared<store_watch>(node);
   watch->Start([](const host_port&) {});
@@ -119,18 +128,10 @@
 TEST_CASE("a late node that the store rejects still drops what has left") {
   front_world world;
   bool rejects = false;
-  raw_server store(world.context, [&rejects](const http_request& request) {
-    return rejects ? "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n"
-                   : AnswerAsStore(request);
-  });
+  raw_server store(world.context, RejectsIf(rejects));
   bool answers = false;
   raw_server peer(world.context, [&answers](const http_request&) {
-    return answers ? OkAnswer(nlohmann::json{
-                         {"items", nlohmann::json::array()},
-                         {"has_more", false},
-                         {"end_offset",
-                          9}}.dump())
-                   : std::string();
+    return answers ? NoInstancesAnswer() : std::string();
   });
   store_watch* watch = nullptr;
   const auto node =
@@ -157,11 +158,7 @@
       // A body that is never complete.
       return std::string("HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n{");
     }
-    return OkAnswer(nlohmann::json{
-        {"items", nlohmann::json::array()},
-        {"has_more", false},
-        {"end_offset",
-         9}}.dump());
+    return NoInstancesAnswer();
   });
   store_watch* watch = nullptr;
   const auto node =
