Odd records test: the parsed page outlives the loop that reads it

The fault is the test's own; the mirror under test is not touched, and the checks are the same ones. The release build passed, since the freed memory was still readable there.

No functional change.

--- a/tests/front/odd_records_test.cc
+++ b/tests/front/odd_records_test.cc
@@ -249,7 +249,8 @@
     const std::string body =
         mirror.Answer("/-/log-newest?part=0&topic=keyed.servers" + query)
             .body();
-    for (const auto& item : nlohmann::json::parse(body).at("items")) {
+    const nlohmann::json page_read = nlohmann::json::parse(body);
+    for (const auto& item : page_read.at("items")) {
       CHECK(item.at("key").get<std::string>().starts_with("i-"));
       CHECK(item.at("key") != unreadable);
     }
