Two Retry-After headers: the longest readable one counts

An instance whose 503 had two Retry-After headers got requests again after the first of them, at once if the first could not be read.

Cause: the answer's field was read by name, which gives the first one.

--- a/tests/front/instance_notice_test.cc
+++ b/tests/front/instance_notice_test.cc
@@ -243,6 +243,23 @@
   CHECK(instance.served == 2);
 }
 
+// Only the first of two headers was read, even if it could not be.
+TEST_CASE("resting: the longest of two readable headers counts") {
+  front_world world;
+  world.AddRoute("/pay/", false);
+  const std::string headers =
+      GENERATE("Retry-After: 0.1\r\nRetry-After: 5\r\n",
+               "Retry-After: 5\r\nRetry-After: 0.1\r\n",
+               "Retry-After: soon\r\nRetry-After: 5\r\n");
+  raw_server& instance = world.AddInstance([&](const http_request& request) {
+    return InstanceAnswer(RequestId(request), 503, "", kNotExecuted + headers);
+  });
+  world.SendRequest(verb::put, "/pay/1");
+  const http_response refused = world.SendRequest(verb::put, "/pay/1");
+  CHECK(RetryAfterSeconds(refused) > 4.5);
+  CHECK(instance.served == 1);
+}
+
 TEST_CASE("resting: a Retry-After on another status says nothing") {
   front_world world;
   world.AddRoute("/pay/", false);
