Refusals for want of an instance name a time that callers wait for

Callers of a service whose instances had all said that they were leaving were refused with a Retry-After of 0.4 to 1.2 s. With 1.5 s of time that is over the third of it that callers wait.

The new test of balance fails on the choice as it was, with 3 and with 900 ms left.

Change: the delay that goes with the choice is cut so that, spread by a half, it ends within a third of the caller's time. The refusals for overload stay.

--- a/balance/instance_selector_choice.cc
+++ b/balance/instance_selector_choice.cc
@@ -3,6 +3,7 @@
 #include <tuple>
 
 #include "balance/instance_selector.h"
+#include "balance/retry_delay.h"
 
 namespace peridotarch {
 
@@ -233,7 +234,8 @@
                                           millis now) {
   const auto found = by_service_.find(request.service);
   instance_choice none;
-  none.retry_after = kNoInstanceRetryAfter;
+  none.retry_after =
+      DelayWithoutInstance(kNoInstanceRetryAfter, request.time_left);
   if (found == by_service_.end()) {
     return none;
   }
--- a/balance/retry_delay.cc
+++ b/balance/retry_delay.cc
@@ -9,6 +9,7 @@
 constexpr int64_t kHonouredPart = 3;  // callers honour a third of their time
 constexpr millis kMaxSpread(1'000);
 constexpr millis kMinSpread(50);
+constexpr double kMaxJitter = 1.5;
 
 }  // namespace
 
@@ -19,4 +20,10 @@
                                             spread));
 }
 
+millis DelayWithoutInstance(millis usual, millis time_left) {
+  const double honoured =
+      static_cast<double>((time_left / kHonouredPart).count()) / kMaxJitter;
+  return std::clamp(millis(static_cast<int64_t>(honoured)), millis(1), usual);
+}
+
 }  // namespace peridotarch
--- a/balance/retry_delay.h
+++ b/balance/retry_delay.h
@@ -11,6 +11,11 @@
 /// so that they do not return together.
 millis DelayAfterRest(millis rest, millis time_left, double spread);
 
+/// Returns when a caller may return whose service has no instance that takes
+/// requests: `usual`, or sooner if a caller with `time_left` does not wait for
+/// so long. The node spreads it by up to a half.
+millis DelayWithoutInstance(millis usual, millis time_left);
+
 }  // namespace peridotarch
 
 #endif  // BALANCE_RETRY_DELAY_H_
--- a/tests/balance/instance_notices_test.cc
+++ b/tests/balance/instance_notices_test.cc
@@ -49,6 +49,20 @@
   CHECK(selector.RestLeft("s", kStart) == millis(0));
 }
 
+// The delay was 0.4 to 1.2 s, over a third of the time of most callers.
+TEST_CASE("leaving: a refusal is within a third of the time left") {
+  instance_selector selector("a", 1);
+  const std::vector<instance_entry> entries = {MakeEntry("i-1", "s")};
+  selector.SetInstances(entries, kStart);
+  selector.NoteAnswer(entries[0], kLeaving, kStart);
+  choice_request request = MakeRequest("s", false);
+  request.time_left = millis(GENERATE(3, 900, 60'000));
+  const millis delay = selector.Choose(request, kStart).retry_after;
+  CHECK(delay >= millis(1));
+  CHECK((delay * 3 / 2 <= request.time_left / 3 || delay == millis(1)));
+  CHECK(delay <= millis(800));
+}
+
 TEST_CASE("leaving: an answer of an earlier start says nothing of this one") {
   instance_selector selector("a", 1);
   instance_entry entry = MakeEntry("i-1", "s");
