--- a/tests/process/consumers.py
+++ b/tests/process/consumers.py
@@ -4,7 +4,7 @@
 import os
 import time
 
-from wire import HOST, no_delay, read_body, read_head
+from wire import HOST, has_body, no_delay, read_body, read_head
 
 
 class Consumer:
@@ -13,7 +13,9 @@
     `answers` of the fleet gets (id, result, sent at, ended at, proxy, whether
     the connection had carried a request before). A result is a status,
     "closed" for a connection that ends without a whole answer, "timeout", or
-    "foreign" for the answer to another request.
+    "foreign" for the answer to another request. `sent` of the fleet gets the
+    proxy and the time of each request before it is sent, `ended` the time of
+    its end.
     """
 
     counter = 0
@@ -24,6 +26,7 @@
         self.reader = self.writer = None
         self.carried = 0  # requests on this connection
         self.request = ""  # the last one
+        self.headers = {}  # of its answer
         self.fresh = False  # a new connection for each request
 
     async def connect(self):
@@ -40,7 +43,9 @@
     async def call(self, method, path, body=b""):
         Consumer.counter += 1
         request = self.request = f"q{os.getpid()}-{Consumer.counter}"
+        self.headers = {}
         sent = time.monotonic()
+        self.fleet.sent[request] = (self.proxy.number, sent)
         record = self.fleet.record
         try:
             if not self.writer:
@@ -64,8 +69,10 @@
             got = await asyncio.wait_for(read_head(self.reader),
                                          self.deadline_ms / 1000)
             if got:
-                await asyncio.wait_for(read_body(self.reader, got[1]), 1)
-                result = int(got[0].split(" ")[1])
+                status = int(got[0].split(" ")[1])
+                if has_body(method, status):
+                    await asyncio.wait_for(read_body(self.reader, got[1]), 1)
+                result, self.headers = status, got[1]
                 if got[1].get("x-request-id") != request:
                     result = "foreign"
                 if got[1].get("connection", "").lower() == "close":
@@ -78,7 +85,8 @@
         except (OSError, asyncio.IncompleteReadError):
             self.drop()
         record(f"consumer has {request}: {result}")
-        self.fleet.answers.append((request, result, sent, time.monotonic(),
+        ended = self.fleet.ended[request] = time.monotonic()
+        self.fleet.answers.append((request, result, sent, ended,
                                    self.proxy.number, kept))
         return result
 
--- a/tests/process/instances.py
+++ b/tests/process/instances.py
@@ -22,8 +22,8 @@
         self.born = int(time.time() * 1000)
         self.writers = set()
 
-    async def start(self, address="127.0.0.1"):
-        self.server = await asyncio.start_server(self.serve, address, 0)
+    async def start(self, address="127.0.0.1", port=0):
+        self.server = await asyncio.start_server(self.serve, address, port)
         self.address = f"{address}:{self.server.sockets[0].getsockname()[1]}"
 
     async def announce(self, state="ready"):
@@ -41,6 +41,11 @@
     async def withdraw(self):
         await self.fleet.store.put("keyed.servers", self.name, b"")
 
+    def extra_headers(self, method, request):
+        """Returns further headers of the answer to a request that has run."""
+        del method, request
+        return []
+
     def close(self):
         self.server.close()
         for writer in list(self.writers):
@@ -106,6 +111,7 @@
                 return
         finally:
             self.room.release()
-        seal = [("X-Response-Seal", f"{self.name}.{request}")]
-        writer.write(http_answer(status, body, echo + seal))
+        echo += [("X-Response-Seal", f"{self.name}.{request}"),
+                 *self.extra_headers(method, request)]
+        writer.write(http_answer(status, body, echo, method))
         record(f"instance {self.name} answers {request} with {status}")
--- a/tests/process/stale_nodes_case.py
+++ b/tests/process/stale_nodes_case.py
@@ -203,7 +203,7 @@
     await asyncio.sleep(2)
     print(f"{NODES} nodes ready after {time.monotonic() - started:.1f} s")
     limiters = limit(fleet)
-    tasks.append(asyncio.ensure_future(report.watch_own_delay()))
+    tasks.append(asyncio.ensure_future(report.own_delay.watch()))
     tasks += [asyncio.ensure_future(probe(fleet, proxy, report))
               for proxy in fleet.proxies]
     try:
--- a/tests/process/staleness.py
+++ b/tests/process/staleness.py
@@ -23,6 +23,19 @@
     return values[min(len(values) - 1, int(share * len(values)))]
 
 
+class OwnDelay:
+    """A stand-in that is late itself would blame the nodes."""
+
+    def __init__(self):
+        self.longest_s = 0.0
+
+    async def watch(self, step_s=0.02):
+        while True:
+            due = time.monotonic() + step_s
+            await asyncio.sleep(step_s)
+            self.longest_s = max(self.longest_s, time.monotonic() - due)
+
+
 class Report:
     """Gathers what the stand-ins saw and judges it by the rules."""
 
@@ -30,15 +43,7 @@
         self.fleet, self.bound_s = fleet, bound_s
         self.versions, self.leavings = [], []
         self.probes = []  # (node, change, route, sent at, request, result)
-        self.longest_delay_s = 0.0
-
-    async def watch_own_delay(self, step_s=0.02):
-        """A stand-in that is late itself would blame the nodes."""
-        while True:
-            due = time.monotonic() + step_s
-            await asyncio.sleep(step_s)
-            self.longest_delay_s = max(self.longest_delay_s,
-                                       time.monotonic() - due)
+        self.own_delay = OwnDelay()
 
     def verdict(self):
         ran_at = {request: name for _, name, request in self.fleet.runs}
@@ -139,6 +144,6 @@
         used = resource.getrusage(resource.RUSAGE_CHILDREN)
         results = collections.Counter(str(one[5]) for one in self.probes)
         print(f"answers: {dict(results)}; the stand-ins' longest delay "
-              f"{self.longest_delay_s:.2f} s, longest append "
+              f"{self.own_delay.longest_s:.2f} s, longest append "
               f"{self.fleet.store.longest_s:.2f} s; processor time of the "
               f"nodes {used.ru_utime + used.ru_stime:.1f} s")
--- a/tests/process/wire.py
+++ b/tests/process/wire.py
@@ -60,7 +60,15 @@
         socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-def http_answer(status, body=b"", headers=()):
-    text = f"HTTP/1.1 {status} Answer\r\nContent-Length: {len(body)}\r\n"
+def has_body(method, status):
+    return method != "HEAD" and status >= 200 and status not in (204, 304)
+
+
+def http_answer(status, body=b"", headers=(), method="GET"):
+    """Returns the answer to a request with this method."""
+    text = f"HTTP/1.1 {status} Answer\r\n"
+    if method == "HEAD" or has_body(method, status):
+        text += f"Content-Length: {len(body)}\r\n"
     text += "".join(f"{name}: {value}\r\n" for name, value in headers)
-    return text.encode() + b"\r\n" + body
+    return text.encode() + b"\r\n" + (body if has_body(method, status)
+                                      else b"")
