--- a/tests/process/consumers.py
+++ b/tests/process/consumers.py
@@ -24,6 +24,7 @@
         self.reader = self.writer = None
         self.carried = 0  # requests on this connection
         self.request = ""  # the last one
+        self.got = None  # headers and body of its answer
         self.fresh = False  # a new connection for each request
 
     async def connect(self):
@@ -40,6 +41,7 @@
     async def call(self, method, path, body=b""):
         Consumer.counter += 1
         request = self.request = f"q{os.getpid()}-{Consumer.counter}"
+        self.got = None
         sent = time.monotonic()
         record = self.fleet.record
         try:
@@ -64,7 +66,9 @@
             got = await asyncio.wait_for(read_head(self.reader),
                                          self.deadline_ms / 1000)
             if got:
-                await asyncio.wait_for(read_body(self.reader, got[1]), 1)
+                body = await asyncio.wait_for(
+                    read_body(self.reader, got[1]), 1)
+                self.got = (got[1], body)
                 result = int(got[0].split(" ")[1])
                 if got[1].get("x-request-id") != request:
                     result = "foreign"
--- a/tests/process/instances.py
+++ b/tests/process/instances.py
@@ -21,6 +21,8 @@
         self.seq = 0
         self.born = int(time.time() * 1000)
         self.writers = set()
+        self.notices = []  # headers of all answers
+        self.rest_s = 0.0  # wants no request for so long
 
     async def start(self, address="127.0.0.1"):
         self.server = await asyncio.start_server(self.serve, address, 0)
@@ -66,7 +68,8 @@
         if path == "/healthz":
             writer.write(http_answer(200, b"", [("X-Instance-Id", self.name)]))
             return
-        echo = [("X-Request-Id", request), ("Keep-Alive", "timeout=10")]
+        echo = [("X-Request-Id", request), ("Keep-Alive", "timeout=10"),
+                *self.notices]
         not_run = echo + [("X-Not-Executed", "1")]
         record = self.fleet.record
         record(f"instance {self.name} gets {request}")
@@ -74,6 +77,10 @@
         if headers.get("x-expect-instance", self.name) != self.name:
             writer.write(http_answer(421, b"", not_run))
             return
+        if self.rest_s:
+            writer.write(http_answer(503, b"", not_run + [
+                ("Retry-After", f"{self.rest_s:.2f}")]))
+            return
         if self.room.locked() and self.waiting >= self.queue:
             writer.write(http_answer(503, b"", not_run))
             return
