--- a/tests/process/consumers.py
+++ b/tests/process/consumers.py
@@ -26,7 +26,7 @@
         self.reader = self.writer = None
         self.carried = 0  # requests on this connection
         self.request = ""  # the last one
-        self.headers = {}  # of its answer
+        self.got = None  # headers and body of its answer
         self.fresh = False  # a new connection for each request
 
     async def connect(self):
@@ -43,7 +43,7 @@
     async def call(self, method, path, body=b""):
         Consumer.counter += 1
         request = self.request = f"q{os.getpid()}-{Consumer.counter}"
-        self.headers = {}
+        self.got = None
         sent = time.monotonic()
         self.fleet.sent[request] = (self.proxy.number, sent)
         record = self.fleet.record
@@ -69,10 +69,12 @@
             got = await asyncio.wait_for(read_head(self.reader),
                                          self.deadline_ms / 1000)
             if got:
-                status = int(got[0].split(" ")[1])
+                status, body = int(got[0].split(" ")[1]), b""
                 if has_body(method, status):
-                    await asyncio.wait_for(read_body(self.reader, got[1]), 1)
-                result, self.headers = status, got[1]
+                    body = await asyncio.wait_for(
+                        read_body(self.reader, got[1]), 1)
+                self.got = (got[1], body)
+                result = status
                 if got[1].get("x-request-id") != request:
                     result = "foreign"
                 if got[1].get("connection", "").lower() == "close":
--- a/tests/process/notice_world.py
+++ b/tests/process/notice_world.py
@@ -160,7 +160,8 @@
 
     def judge(self, consumer, result, sent, first_return):
         now = time.monotonic()
-        wait = float(consumer.headers.get("retry-after", "0"))
+        headers = consumer.got[0] if consumer.got else {}
+        wait = float(headers.get("retry-after", "0"))
         longest = (self.deadline_ms / 1000 - (now - sent)) / 3
         self.asked += 1
         self.waits.append(wait)
