Attempts: a request is not written to an instance that the list no longer offers

What callers' instances saw: beside load a request reached an instance 2.71 s after the store had acknowledged that it was draining (DRAIN, bound 2.5 s), 0.80 s after the node that sent it had that leaving in force.

Cause: the node chose the instance, opened a connection, and took the new list meanwhile. Before the write it asked only for what instances had said in their answers, not for the list. Any time that a connection takes to open, and any wait of the node for a processor meanwhile, came on top of the time that the node needed to learn of the leaving.

Ruled out for this request: a late measurement (the time is the kernel's, at the instance's socket; the stand-in read it at 3.375 s) and a late list.

Change: before the write the list is asked, too: listed at that address and not draining. A request that is held back so goes to another instance and counts as not written, as after a notice.

Test: "the store's list is asked again before a request is written" (draining, gone, moved): 3 of 15 checks failed before, none now. "stray refusal: a request whose body is not yet written" sent to an instance that no list named, which is no case of use and is now held back; it lists the instance first, and its checks are unchanged. front_test (97 cases) and balance_test (101) pass. Not changed: proxy/upstream_link writes after it has connected without asking again, either.

--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -307,4 +307,10 @@
   return is_listed ? &found->second.entry : nullptr;
 }
 
+bool instance_selector::IsInUse(const instance_entry& instance) const {
+  const instance_entry* listed = Find(KeyOf(instance.id));
+  return listed != nullptr && !listed->draining &&
+         listed->address == instance.address && listed->port == instance.port;
+}
+
 }  // namespace peridotarch
--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -118,8 +118,11 @@
   std::vector<notice_change> TakeNoticeChanges() {
     return notices_.TakeChanges();
   }
-  /// Returns whether a request that was chosen for the instance may still be
-  /// sent there.
+  /// Returns whether the instance is still listed at this address, and not as
+  /// draining.
+  [[nodiscard]] bool IsInUse(const instance_entry& instance) const;
+  /// Returns whether the instance has said nothing against a request that was
+  /// chosen for it.
   [[nodiscard]] bool MaySend(const instance_entry& instance, millis now) const;
   /// Returns the time until the first instance of the service takes requests
   /// again if all rest or are leaving; 0 if one takes requests or none returns.
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -215,7 +215,8 @@
       co_return result;
     }
   }
-  // It may have said so to another request while the connection was opened.
+  // It may have said so to another request, or the store's list may have
+  // changed, while the connection was opened.
   if (!may_send(params.instance)) {
     result.withdrawn = true;
     result.summary.ended = attempt_end_cause::kCancelled;
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -38,7 +38,8 @@
     OnNotice(instance, notice);
   };
   pool.may_send = [this](const instance_entry& instance) {
-    return selector.MaySend(instance, boot_clock::Now());
+    return selector.IsInUse(instance) &&
+           selector.MaySend(instance, boot_clock::Now());
   };
 }
 
--- a/tests/front/instance_notice_test.cc
+++ b/tests/front/instance_notice_test.cc
@@ -292,6 +292,38 @@
   CHECK(world.node->selector.suspects() == 0);
 }
 
+// A request reached an instance whose leaving this node had read from the store
+// while it opened the connection.
+TEST_CASE("the store's list is asked again before a request is written") {
+  front_world world;
+  world.AddRoute("/pay/", false);
+  raw_server& one = world.AddInstance(GoodAnswer);
+  raw_server& two = world.AddInstance(GoodAnswer);
+  const std::string change = GENERATE("draining", "gone", "moved");
+  std::string first;
+  const auto ask = world.node->pool.may_send;
+  world.node->pool.may_send = [&](const instance_entry& chosen) {
+    if (first.empty()) {
+      first = chosen.id;
+      std::vector<instance_entry> list = {
+          front_world::MakeEntry("i-1", one.port()),
+          front_world::MakeEntry("i-2", two.port())};
+      const size_t at = first == "i-1" ? 0 : 1;
+      list[at].draining = change == "draining";
+      list[at].port += change == "moved" ? 1 : 0;
+      if (change == "gone") {
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(at));
+      }
+      SetEntries(world, list);
+    }
+    return ask(chosen);
+  };
+  CHECK(world.SendRequest(verb::put, "/pay/1").result_int() == 200);
+  CHECK((first == "i-1" ? one : two).served == 0);
+  CHECK(one.served + two.served == 1);
+  CHECK(world.node->selector.suspects() == 0);
+}
+
 // An idle connection keeps a slot of the instance's connections.
 TEST_CASE("leaving: idle connections are closed and the peers are told once") {
   front_world world;
--- a/tests/front/stray_refusal_test.cc
+++ b/tests/front/stray_refusal_test.cc
@@ -187,6 +187,7 @@
     exchange_params params;
     params.instance =
         world.MakeEntry("early", acceptor.local_endpoint().port());
+    world.AddEntry(params.instance);
     params.request = http_request(verb::put, "/pay/1", 11);
     params.request.body() = std::string(16 << 20, 'x');
     params.request.prepare_payload();
