Process tests: the chain of times of each late request, by the kernel's time of arrival

KNOWN-RED.txt listed that DRAIN breaks in stale_nodes beside load, and that it was not known whose delay it is. The stand-ins share one event loop, which was up to 1.7 s late: arrivals were noted when that loop read them, and acknowledgements when it read those.

Change: an arrival is the kernel's time at the instance's socket (SO_TIMESTAMPNS), an acknowledgement the store's own time, a consumer's send the moment of the write. The check is as strict: bounds and counts are the same, an acknowledgement now counts from earlier than before, and only the stand-in's own delay in reading is left out of the arrival. For each late request the case prints and records the chain: the store's answers, the first nodes, the sender and its failed reads, the delay of the stand-ins, and how long the sender ran and waited for a processor. It also counts requests that a node sent although it had the leaving in force.

No functional change.

--- a/tests/process/consumers.py
+++ b/tests/process/consumers.py
@@ -24,6 +24,7 @@
         self.reader = self.writer = None
         self.carried = 0  # requests on this connection
         self.request = ""  # the last one
+        self.sent = 0.0  # when it was written
         self.fresh = False  # a new connection for each request
 
     async def connect(self):
@@ -40,7 +41,6 @@
     async def call(self, method, path, body=b""):
         Consumer.counter += 1
         request = self.request = f"q{os.getpid()}-{Consumer.counter}"
-        sent = time.monotonic()
         record = self.fleet.record
         try:
             if not self.writer:
@@ -60,6 +60,7 @@
         kept = self.carried > 0
         self.carried += 1
         try:
+            self.sent = time.monotonic()
             self.writer.write(head.encode() + body)
             got = await asyncio.wait_for(read_head(self.reader),
                                          self.deadline_ms / 1000)
@@ -78,7 +79,7 @@
         except (OSError, asyncio.IncompleteReadError):
             self.drop()
         record(f"consumer has {request}: {result}")
-        self.fleet.answers.append((request, result, sent, time.monotonic(),
+        self.fleet.answers.append((request, result, self.sent, time.monotonic(),
                                    self.proxy.number, kept))
         return result
 
--- a/tests/process/instances.py
+++ b/tests/process/instances.py
@@ -5,6 +5,7 @@
 import json
 import time
 
+import stamps
 from wire import http_answer, no_delay, read_body, read_head
 
 
@@ -23,7 +24,8 @@
         self.writers = set()
 
     async def start(self, address="127.0.0.1"):
-        self.server = await asyncio.start_server(self.serve, address, 0)
+        self.server = await asyncio.start_server(
+            self.serve, sock=stamps.listen(address))
         self.address = f"{address}:{self.server.sockets[0].getsockname()[1]}"
 
     async def announce(self, state="ready"):
@@ -53,14 +55,15 @@
             while (head := await read_head(reader)) is not None:
                 line, headers = head
                 await read_body(reader, headers)
-                await self.serve_one(line, headers, reader, writer)
+                await self.serve_one(line, headers, reader, writer,
+                                     stamps.arrival(writer))
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
             self.writers.discard(writer)
             writer.close()
 
-    async def serve_one(self, line, headers, reader, writer):
+    async def serve_one(self, line, headers, reader, writer, arrived):
         method, path, _ = line.split(" ")
         request = headers.get("x-request-id", "")
         if path == "/healthz":
@@ -70,7 +73,8 @@
         not_run = echo + [("X-Not-Executed", "1")]
         record = self.fleet.record
         record(f"instance {self.name} gets {request}")
-        self.fleet.arrivals.append((time.monotonic(), self.name, request))
+        self.fleet.arrivals.append((arrived, self.name, request,
+                                    time.monotonic()))
         if headers.get("x-expect-instance", self.name) != self.name:
             writer.write(http_answer(421, b"", not_run))
             return
--- a/tests/process/proxies.py
+++ b/tests/process/proxies.py
@@ -16,6 +16,7 @@
     def __init__(self, fleet, number, zone):
         self.fleet, self.number, self.zone = fleet, number, zone
         self.ip = f"127.0.0.{11 + number}"
+        self.name = f"edge-{zone}-{number}"
         self.process = None
         self.ports = fleet.ports
         self.restarts = False
@@ -23,7 +24,7 @@
     def write_settings(self, first_start):
         fleet = self.fleet
         values = {
-            "node": f"edge-{self.zone}-{self.number}", "zone": self.zone,
+            "node": self.name, "zone": self.zone,
             "listen.front": f"{self.ip}:{self.ports[0]}",
             "listen.ready": f"{self.ip}:{self.ports[1]}",
             "listen.control": f"{self.ip}:{self.ports[2]}",
--- a/tests/process/replacement.py
+++ b/tests/process/replacement.py
@@ -83,7 +83,8 @@
         gone_at = time.monotonic()
         await asyncio.gather(*self.tasks)
         self.beats.cancel()
-        late = [(name, request) for at, name, request in fleet.arrivals
+        late = [(name, request) for at, name, request, _ in
+                fleet.arrivals
                 if name in self.drained and at > self.drained[name] + DRAIN_S]
         for name, request in late:
             fleet.record(f"too late at {name}: {request}")
--- a/tests/process/slow_attempt_case.py
+++ b/tests/process/slow_attempt_case.py
@@ -43,7 +43,7 @@
 def closed_unanswered(fleet, unsound):
     """Returns the requests from kept connections that a sound instance got and
     whose connection was closed without an answer."""
-    reached = {request: name for _, name, request in fleet.arrivals}
+    reached = {request: name for _, name, request, _ in fleet.arrivals}
     return [request for request, result, *_, kept in fleet.answers
             if result == "closed" and kept and request in reached
             and reached[request] not in unsound]
--- a/tests/process/stale_nodes_case.py
+++ b/tests/process/stale_nodes_case.py
@@ -67,7 +67,8 @@
             moved["service"] = "annex"
         await self.write()
         self.report.versions.append(Change(
-            self.fleet.version, added, moved and moved["name"]))
+            self.fleet.version, added, self.fleet.store.acknowledged,
+            moved and moved["name"]))
 
     async def storm(self, period_s, seconds):
         start = time.monotonic()
@@ -114,7 +115,8 @@
     async def leave(self, instance):
         del self.alive[instance.name]
         offset = await instance.announce("draining")
-        self.report.leavings.append(Change(offset, instance.name))
+        self.report.leavings.append(Change(offset, instance.name,
+                                           self.fleet.store.acknowledged))
         await asyncio.sleep(LEAVES_AFTER_S)
         await instance.withdraw()
         await asyncio.sleep(1)
@@ -141,10 +143,9 @@
         if change:
             name = (change.moved if change.moved and draw < 0.25
                     else change.name)
-        sent = time.monotonic()
         result = await consumer.call("GET", f"/{name}/{random.random()}")
         if result is not None:
-            report.probes.append((proxy.number, change, name, sent,
+            report.probes.append((proxy.number, change, name, consumer.sent,
                                   consumer.request, result))
 
 
@@ -203,7 +204,7 @@
     await asyncio.sleep(2)
     print(f"{NODES} nodes ready after {time.monotonic() - started:.1f} s")
     limiters = limit(fleet)
-    tasks.append(asyncio.ensure_future(report.watch_own_delay()))
+    tasks.append(asyncio.ensure_future(report.watch_delays()))
     tasks += [asyncio.ensure_future(probe(fleet, proxy, report))
               for proxy in fleet.proxies]
     try:
@@ -219,7 +220,7 @@
         if proxy.process.poll() is not None:
             print(f"edge-{proxy.number} ended with {proxy.process.returncode}")
     await print_answers(fleet, len(report.versions))
-    return report.verdict()
+    return await report.verdict()
 
 
 standin.main(__file__, case, 200)
--- a/tests/process/staleness.py
+++ b/tests/process/staleness.py
@@ -3,19 +3,30 @@
 import asyncio
 import collections
 import json
+import os
 import resource
 import time
 
+import stamps
+from delays import LoopDelays, ProcessorUse
+from late_chain import LateChains
+
 
 class Change:
-    """An acknowledged record: a version, or the leaving of an instance."""
+    """A record: a version, or the leaving of an instance.
+
+    The store's acknowledgement was given at `given_s` of the wall clock."""
 
-    def __init__(self, number, name, moved=None):
+    def __init__(self, number, name, given_s, moved=None):
         self.number = number  # the version, or the offset of the record
         self.name = name  # of the route that was added, or the instance
         self.moved = moved  # the route that goes to another service
-        self.at = time.monotonic()
-        self.at_ms = time.time() * 1000
+        self.at = stamps.monotonic(given_s)
+        self.at_ms = given_s * 1000
+
+
+def worst(delays):
+    return max((seconds for _, seconds in delays), default=0.0)
 
 
 def quantile(values, share):
@@ -30,17 +41,17 @@
         self.fleet, self.bound_s = fleet, bound_s
         self.versions, self.leavings = [], []
         self.probes = []  # (node, change, route, sent at, request, result)
-        self.longest_delay_s = 0.0
+        self.delays = LoopDelays()
+        self.use = None  # of the processors
 
-    async def watch_own_delay(self, step_s=0.02):
+    async def watch_delays(self):
         """A stand-in that is late itself would blame the nodes."""
-        while True:
-            due = time.monotonic() + step_s
-            await asyncio.sleep(step_s)
-            self.longest_delay_s = max(self.longest_delay_s,
-                                       time.monotonic() - due)
+        self.use = ProcessorUse(
+            [os.getpid(), self.fleet.store.process.pid]
+            + [proxy.process.pid for proxy in self.fleet.proxies])
+        await asyncio.gather(self.delays.watch(), self.use.watch())
 
-    def verdict(self):
+    async def verdict(self):
         ran_at = {request: name for _, name, request in self.fleet.runs}
         services = {one.name: one.service for one in self.fleet.instances}
         late = [one for one in self.probes
@@ -61,23 +72,41 @@
                         f"allowed {allowed:.0f}")
         self.print_rule("DRAIN", len(draining),
                         f"{len(draining)} arrivals at "
-                        f"{len(set(draining))} of {len(self.leavings)} "
-                        "instances that leave")
-        self.print_logs()
-        self.print_own()
+                        f"{len({one[1] for one in draining})} of "
+                        f"{len(self.leavings)} instances that leave")
+        logs = [self.read_log(proxy) for proxy in self.fleet.proxies]
+        self.print_logs(logs)
+        standin = await self.fleet.store.call("GET /-/standin")
+        self.print_late(LateChains(self, logs, standin), refused + old,
+                        draining)
+        self.print_own(standin)
         return bool(refused or old or draining or len(denied) > allowed)
 
+    def print_late(self, chains, requests, arrivals):
+        """The last line tells a busy machine from a fault of the nodes; the
+        rules count these requests all the same."""
+        for one in requests:
+            chains.print(chains.of_request(*one))
+        for one in arrivals:
+            chains.print(chains.of_arrival(*one))
+        in_spite = chains.sent_in_spite(self.fleet.arrivals)
+        print(f"sent to an instance by a node that had its leaving in force: "
+              f"{len(in_spite)}, up to {max(in_spite, default=0):.0f} ms later")
+        if requests or arrivals:
+            print(f"other programs kept {chains.kept_from_running} of the "
+                  f"{len(requests) + len(arrivals)} late requests' nodes from "
+                  "running for longer than they were late")
+
     def late_arrivals(self):
         left = {change.name: change.at for change in self.leavings}
-        return [name for at, name, _ in self.fleet.arrivals
-                if name in left and at > left[name] + self.bound_s]
+        return [one for one in self.fleet.arrivals
+                if one[1] in left and one[0] > left[one[1]] + self.bound_s]
 
     @staticmethod
     def print_rule(rule, broken, text):
         print(f"{rule} {'broken' if broken else 'held'}: {text}")
 
-    def print_logs(self):
-        logs = [self.read_log(proxy) for proxy in self.fleet.proxies]
+    def print_logs(self, logs):
         end_ms = time.time() * 1000
         self.print_lags("versions", self.versions, end_ms, [
             [(line["at_ms"], line["version"]) for line in lines
@@ -133,12 +162,16 @@
                     pass  # the last line of a process that runs
         return lines
 
-    def print_own(self):
+    def print_own(self, standin):
         for proxy in self.fleet.proxies:
             proxy.kill()
         used = resource.getrusage(resource.RUSAGE_CHILDREN)
+        own, others = self.use.cores(0, time.time())
         results = collections.Counter(str(one[5]) for one in self.probes)
-        print(f"answers: {dict(results)}; the stand-ins' longest delay "
-              f"{self.longest_delay_s:.2f} s, longest append "
+        print(f"answers: {dict(results)}; longest delay of the "
+              f"stand-ins {worst(self.delays.seen):.2f} s, of the store "
+              f"{worst(standin['delays']):.2f} s, of an append "
               f"{self.fleet.store.longest_s:.2f} s; processor time of the "
               f"nodes {used.ru_utime + used.ru_stime:.1f} s")
+        print(f"processors used by the case {own:.1f}, by other programs "
+              f"{others:.1f}, of {os.cpu_count()}")
--- a/tests/process/standin.py
+++ b/tests/process/standin.py
@@ -41,6 +41,7 @@
         self.record = Record(directory)
         self.store = Store(self.record)
         self.instances = []
+        # Arrivals: (reached the instance, its name, request, was read there).
         self.runs, self.arrivals, self.answers = [], [], []
         deploy = (ROOT / "deploy" / "system.toml").read_text()
         found = re.search(r'^run = "([^"]*)"', deploy, re.M)
--- a/tests/process/store.py
+++ b/tests/process/store.py
@@ -6,8 +6,10 @@
 import struct
 import subprocess
 import sys
+import time
 import urllib.parse
 
+from delays import LoopDelays
 from wire import (CannotRun, http_answer, no_delay, read_body, read_head)
 
 MAX_ITEMS = 500  # of an answer
@@ -41,6 +43,8 @@
         self.down = False  # "silent": calls get no answer
         self.base = {}  # topic: offset of the first record that is kept
         self.port = 0
+        self.delays = LoopDelays()
+        self.reads = []  # (topic, from, asked, answered, end of the topic)
 
     async def start(self, address="127.0.0.1"):
         self.server = await asyncio.start_server(self.serve, address, 0)
@@ -95,6 +99,7 @@
         if method == "GET" and url.path == "/-/log-read":
             base = self.base.get(topic, 0)
             first = max(0, int(query["from"]) - base)
+            asked = time.time()
             if int(query["from"]) < base:
                 return http_answer(410, json.dumps(
                     {"first_offset": base}).encode())
@@ -107,6 +112,8 @@
             except asyncio.TimeoutError:
                 pass
             records = self.topics.get(topic, [])
+            self.reads.append((topic, base + first, asked, time.time(),
+                               base + len(records)))
             page = struct.pack(">QQ", base + len(records), base)
             limit = int(query.get("max_kb", MAX_BYTES >> 10)) << 10
             parts = [page]
@@ -118,8 +125,12 @@
                     break
             return http_answer(200, b"".join(parts))
         if method == "POST" and url.path == "/-/operator-append":
-            return http_answer(200, json.dumps({"offset": await self.append(
-                topic, list(unframe(body)))}).encode())
+            offset = await self.append(topic, list(unframe(body)))
+            return http_answer(200, json.dumps(
+                {"offset": offset, "at": time.time()}).encode())
+        if method == "GET" and url.path == "/-/standin":
+            return http_answer(200, json.dumps(
+                {"delays": self.delays.seen, "reads": self.reads}).encode())
         if method == "POST" and url.path == "/-/log-append":
             if topic in ("keyed.op", "keyed.servers"):
                 return http_answer(403)
@@ -166,6 +177,7 @@
         self.port = 0
         self.turn = asyncio.Lock()
         self.longest_s = 0.0  # of all appends
+        self.acknowledged = 0.0  # the append that returned last, wall clock
 
     async def start(self):
         self.process = subprocess.Popen(
@@ -181,18 +193,22 @@
 
     async def append(self, topic, records):
         body = b"".join(frame(key, value) for key, value in records)
+        answer = await self.call(f"POST /-/operator-append?topic={topic}", body)
+        self.acknowledged = answer["at"]
+        return answer["offset"]
+
+    async def call(self, what, body=b""):
         async with self.turn:
-            clock = asyncio.get_running_loop().time
-            sent = clock()
-            self.writer.write(
-                f"POST /-/operator-append?topic={topic} HTTP/1.1\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            sent = time.monotonic()
+            self.writer.write(f"{what} HTTP/1.1\r\n"
+                              f"Content-Length: {len(body)}\r\n\r\n".encode()
+                              + body)
             head = await read_head(self.reader)
             if head is None:
                 raise CannotRun("the store has ended")
             answer = json.loads(await read_body(self.reader, head[1]))
-            self.longest_s = max(self.longest_s, clock() - sent)
-        return answer["offset"]
+            self.longest_s = max(self.longest_s, time.monotonic() - sent)
+        return answer
 
     def close(self):
         if self.port:
@@ -204,7 +220,9 @@
     store = Store(None)
     await store.start()
     print(store.port, flush=True)
+    watch = asyncio.ensure_future(store.delays.watch())
     await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+    watch.cancel()
 
 
 if __name__ == "__main__":
