Process tests: readers of the store that wait on a silent connection

silent_reader (nine nodes in three zones, drain_s 2 s) keeps the store's answers from one or three readers.

No functional change.

--- a/tests/process/replacement.py
+++ b/tests/process/replacement.py
@@ -27,8 +27,8 @@
     """Begins with `start`; then the case calls `join` and `leave`, and ends
     with `finish`."""
 
-    def __init__(self, make):
-        self.fleet = make(["za"] * PROXIES)
+    def __init__(self, make, zones=("za",) * PROXIES):
+        self.fleet = make(list(zones))
         self.drained = {}  # name of an instance: when its drain was acknowledged
 
     async def _add(self, number):
@@ -51,9 +51,10 @@
         await fleet.start()
         self.beats = asyncio.ensure_future(fleet.heartbeats())
         until = time.monotonic() + SECONDS
-        consumers = [standin.Consumer(fleet, fleet.proxies[i % PROXIES],
-                                      lambda: random.expovariate(4))
-                     for i in range(CONSUMERS)]
+        consumers = [
+            standin.Consumer(fleet, fleet.proxies[i % len(fleet.proxies)],
+                             lambda: random.expovariate(4))
+            for i in range(CONSUMERS)]
         self.tasks = [asyncio.ensure_future(one.run(choose, until))
                       for one in consumers]
 
--- a/tests/process/store.py
+++ b/tests/process/store.py
@@ -43,6 +43,8 @@
         self.down = False  # "silent": calls get no answer
         self.base = {}  # topic: offset of the first record that is kept
         self.port = 0
+        self.waiting = {}  # connection: the topic that its read waits for
+        self.silent = set()  # connections that get no further byte
         self.delays = LoopDelays()
         self.reads = []  # (topic, from, asked, answered, end of the topic)
 
@@ -79,8 +81,11 @@
                 if self.down:  # this connection returns nothing further
                     await reader.read()
                     break
+                if "/-/log-read" in target and "wait_ms=0" not in target:
+                    self.waiting[writer] = target
                 answer = await self.answer(method, target, body)
-                if self.down:
+                self.waiting.pop(writer, None)
+                if self.down or writer in self.silent:
                     await reader.read()
                     break
                 writer.write(answer)
@@ -90,6 +95,16 @@
         finally:
             writer.close()
 
+    async def silence_reader(self, topic):
+        """Silences one connection while a read of the topic waits there."""
+        while not (found := [writer for writer, target in self.waiting.items()
+                             if f"topic={topic}" in target
+                             and writer not in self.silent]):
+            await asyncio.sleep(0.001)
+        self.silent.add(found[0])
+        self.record(f"one of {len(found)} waiting reads of {topic} gets no "
+                    "answer")
+
     async def answer(self, method, target, body):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
