--- a/scripts/lib/soak_fleet.py
+++ b/scripts/lib/soak_fleet.py
@@ -128,14 +128,14 @@
             body = self.body("another request")
         return seconds, status, body
 
-    async def serve_one(self, line, headers, reader, writer):
+    async def serve_one(self, line, headers, reader, writer, arrived):
         method, path, _ = line.split(" ")
         if path != "/healthz":
             request = headers.get("x-request-id", "")
             expected = headers.get("x-expect-instance", self.name)
             self.fleet.arrived.append({
-                "at": now_ms(), "tag": request, "instance": self.name,
-                "incarnation": self.boot, "service": self.service,
+                "at": int(arrived * 1000), "tag": request,
+                "instance": self.name, "incarnation": self.boot, "service": self.service,
                 "misdirected": expected != self.name, "method": method,
                 "path": path, "rest_ms": int(self.rest_s * 1000)})
             if (expected == self.name and not self.rest_s and
@@ -145,7 +145,7 @@
                     503, b"", [("X-Request-Id", request),
                                ("X-Not-Executed", "1")]))
                 return
-        await super().serve_one(line, headers, reader, writer)
+        await super().serve_one(line, headers, reader, writer, arrived)
 
     def close(self):
         self.link.target = None
--- a/tests/process/consumers.py
+++ b/tests/process/consumers.py
@@ -27,6 +27,7 @@
         self.carried = 0  # requests on this connection
         self.request = ""  # the last one
         self.got = None  # headers and body of its answer
+        self.sent = 0.0  # when it was written
         self.fresh = False  # a new connection for each request
 
     async def connect(self):
@@ -44,8 +45,6 @@
         Consumer.counter += 1
         request = self.request = f"q{os.getpid()}-{Consumer.counter}"
         self.got = None
-        sent = time.monotonic()
-        self.fleet.sent[request] = (self.proxy.number, sent)
         record = self.fleet.record
         try:
             if not self.writer:
@@ -65,6 +64,8 @@
         kept = self.carried > 0
         self.carried += 1
         try:
+            self.sent = time.monotonic()
+            self.fleet.sent[request] = (self.proxy.number, self.sent)
             self.writer.write(head.encode() + body)
             got = await asyncio.wait_for(read_head(self.reader),
                                          self.deadline_ms / 1000)
@@ -88,7 +89,7 @@
             self.drop()
         record(f"consumer has {request}: {result}")
         ended = self.fleet.ended[request] = time.monotonic()
-        self.fleet.answers.append((request, result, sent, ended,
+        self.fleet.answers.append((request, result, self.sent, ended,
                                    self.proxy.number, kept))
         return result
 
--- a/tests/process/notice_world.py
+++ b/tests/process/notice_world.py
@@ -7,8 +7,8 @@
 import time
 
 import standin
+from delays import LoopDelays, worst
 from notices import NoticeInstance
-from staleness import OwnDelay
 
 MACHINES = 3
 CONSUMERS = 8  # of each machine
@@ -31,7 +31,7 @@
         self.fleet = make(["za"] * machines)
         self.requests_per_s = requests_per_s
         self.starts = []  # of all instances
-        self.own_delay = OwnDelay()
+        self.own_delay = LoopDelays()
         self.tasks = []
         self.ends_at = 0.0
 
@@ -114,7 +114,7 @@
                 raise standin.CannotRun(
                     f"edge-{proxy.number} ended with {code}")
         self.say(f"the stand-ins' longest delay "
-                 f"{self.own_delay.longest_s:.2f} s; probes: "
+                 f"{worst(self.own_delay.seen):.2f} s; probes: "
                  f"{sum(one.probes for one in self.starts)}")
 
     def say(self, text):
--- a/tests/process/notices.py
+++ b/tests/process/notices.py
@@ -54,7 +54,7 @@
         self.told_leaving.append(request)
         return LEAVING
 
-    async def serve_one(self, line, headers, reader, writer):
+    async def serve_one(self, line, headers, reader, writer, arrived):
         method, path, _ = line.split(" ")
         if path == "/healthz":
             self.probes += 1
@@ -63,17 +63,20 @@
                 status, b"", [("X-Instance-Id", self.name), *says], method))
             return
         if headers.get("x-expect-instance", self.name) != self.name:
-            await super().serve_one(line, headers, reader, writer)  # 421
+            await super().serve_one(line, headers, reader, writer,
+                                    arrived)  # 421
             return
         request = headers.get("x-request-id", "")
         self.busy += 1
-        self.reached.append((time.monotonic(), request, self.busy))
+        self.reached.append((arrived, request, self.busy))
         try:
-            await self.serve_by_notice(line, headers, reader, writer)
+            await self.serve_by_notice(line, headers, reader, writer,
+                                       arrived)
         finally:
             self.busy -= 1
 
-    async def serve_by_notice(self, line, headers, reader, writer):
+    async def serve_by_notice(self, line, headers, reader, writer,
+                              arrived):
         method = line.split(" ")[0]
         request = headers.get("x-request-id", "")
         if self.rest is not None:
@@ -85,7 +88,7 @@
                 self.told_leaving.append(request)
                 writer.write(b"HTTP/1.1 103 Early\r\n"
                              b"Server-Leaving: 1\r\n\r\n")
-            await super().serve_one(line, headers, reader, writer)
+            await super().serve_one(line, headers, reader, writer, arrived)
 
     def reject(self, request, method, writer, values):
         headers = [("X-Request-Id", request), ("Keep-Alive", "timeout=10"),
--- a/tests/process/standin.py
+++ b/tests/process/standin.py
@@ -41,6 +41,7 @@
         self.record = Record(directory)
         self.store = Store(self.record)
         self.instances = []
+        # Arrivals: (reached the instance, its name, request, was read there).
         self.runs, self.arrivals, self.answers = [], [], []
         self.sent, self.ended = {}, {}  # request: (proxy, time), time
         deploy = (ROOT / "deploy" / "system.toml").read_text()
