--- a/scripts/lib/soak_fleet.py
+++ b/scripts/lib/soak_fleet.py
@@ -135,7 +135,8 @@
             expected = headers.get("x-expect-instance", self.name)
             self.fleet.arrived.append({
                 "at": int(arrived * 1000), "tag": request,
-                "instance": self.name, "incarnation": self.boot, "service": self.service,
+                "instance": self.name, "incarnation": self.boot,
+                "service": self.service,
                 "misdirected": expected != self.name, "method": method,
                 "path": path, "rest_ms": int(self.rest_s * 1000)})
             if (expected == self.name and not self.rest_s and
