--- a/tests/process/notice_table_case.py
+++ b/tests/process/notice_table_case.py
@@ -7,7 +7,8 @@
 Excuse: none.
 
 NODES, INSTANCES and RATE (requests a second of all consumers) set the size,
-TURNS the turns of 6 s. PROXY names the program.
+TURNS the turns of 6 s. FORM is the kind of answer that says that an instance is
+leaving, "reply" or "rejection". PROXY names the program.
 """
 
 import asyncio
@@ -24,6 +25,7 @@
 INSTANCES = int(os.environ.get("INSTANCES", "24"))
 RATE = float(os.environ.get("RATE", "240"))
 TURNS = int(os.environ.get("TURNS", "6"))
+FORM = os.environ.get("FORM", "reply")
 TURN_S = 6.0
 GAP_S = 2.0  # between turns: the nodes learn of the next starts
 CALM_S = 8.0
@@ -49,7 +51,7 @@
     resting = [asyncio.ensure_future(rest_on(one, until))
                for one in serving[(turn + 1) % 3::3]]
     for instance in leaving:
-        instance.leaving = "reply"
+        instance.leaving = FORM
     await asyncio.sleep(TURN_S)
     await asyncio.gather(*resting)
     for instance in leaving:
