--- a/tests/front/instance_notice_test.cc
+++ b/tests/front/instance_notice_test.cc
@@ -327,7 +327,9 @@
           front_world::MakeEntry("i-2", two.port())};
       const size_t at = first == "i-1" ? 0 : 1;
       list[at].draining = change == "draining";
-      list[at].port += change == "moved" ? 1 : 0;
+      if (change == "moved") {
+        ++list[at].port;
+      }
       if (change == "gone") {
         list.erase(list.begin() + static_cast<std::ptrdiff_t>(at));
       }
