Core: one checked function for numbers from outside that become narrower

Narrowed throws codec_error, Clamped takes the nearest number that fits. IntegerFrom of inner/json_number.h uses it; its errors are the same.

No functional change.

--- a/inner/json_number.h
+++ b/inner/json_number.h
@@ -6,9 +6,9 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
-#include <utility>
 
 #include "core/error.h"
+#include "core/narrow.h"
 
 namespace peridotarch {
 
@@ -17,15 +17,10 @@
 template <std::integral T>
 T IntegerFrom(const nlohmann::json& value, std::string_view what) {
   if (value.is_number_unsigned()) {
-    const auto number = value.get<uint64_t>();
-    if (std::in_range<T>(number)) {
-      return static_cast<T>(number);
-    }
-  } else if (value.is_number_integer()) {
-    const auto number = value.get<int64_t>();
-    if (std::in_range<T>(number)) {
-      return static_cast<T>(number);
-    }
+    return Narrowed<T>(value.get<uint64_t>(), what);
+  }
+  if (value.is_number_integer()) {
+    return Narrowed<T>(value.get<int64_t>(), what);
   }
   throw codec_error(std::string(what) + " is not an integer in range");
 }
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <set>
 #include <thread>
 #include <vector>
@@ -9,6 +10,7 @@
 #include "core/hybrid_clock.h"
 #include "core/invariant.h"
 #include "core/millis.h"
+#include "core/narrow.h"
 #include "core/random.h"
 #include "core/rcu_cell.h"
 #include "core/timeline.h"
@@ -24,6 +26,18 @@
   REQUIRE_FALSE(FromName<verdict>("maybe").has_value());
 }
 
+TEST_CASE("a number from outside is checked when it is narrowed") {
+  CHECK(Narrowed<uint8_t>(255, "n") == 255);
+  CHECK_THROWS_AS(Narrowed<uint8_t>(256, "n"), codec_error);
+  CHECK_THROWS_AS(Narrowed<uint64_t>(-1, "n"), codec_error);
+  CHECK(Clamped<uint32_t>(uint64_t{1} << 32) == UINT32_MAX);
+  CHECK(Clamped<uint8_t>(-1) == 0);
+  CHECK(Clamped<int>(-1e300) == INT32_MIN);
+  CHECK(Clamped<int>(-2.5) == -2);
+  CHECK(Clamped<int64_t>(9.3e18) == INT64_MAX);
+  CHECK(Clamped<int64_t>(std::nan("")) == 0);
+}
+
 TEST_CASE("a breach is counted, and throws where that is fatal") {
   const uint64_t before = Breaches(invariant::kFloor);
   SetBreachesFatal(false);
