Front: a limit for heads of 2^32 bytes and more takes requests

Callers saw 431 on every request when the configuration set max_header_bytes to 2^32 (the decoder takes up to 2^40): the limit of Beast's parser has 32 bits, and a cast cut the configured one, here to 0.

The limit is now the nearest one that fits.

--- a/front/caller_session.cc
+++ b/front/caller_session.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "core/narrow.h"
 #include "front/caller_request.h"
 #include "front/pipelined_request.h"
 #include "platform/call_wire.h"
@@ -61,7 +62,7 @@
   limits.idle = configured.idle_timeout + kIdleMargin;
   limits.head_timeout = configured.header_timeout;
   limits.body_timeout = kBodyTimeout;
-  limits.header_bytes = static_cast<uint32_t>(configured.header_bytes);
+  limits.header_bytes = Clamped<uint32_t>(configured.header_bytes);
   limits.body_bytes = configured.body_bytes;
   return limits;
 }
