Balance: a report on more than 255 services is read by the peers

A node that had sent requests for 256 or more services within the retry window encoded the count of services cut to a byte. Its peers read what followed as outcomes and refused the report ("load report has an unknown outcome"), so they knew neither its load nor its retries. Nodes learn services from the configuration, which has no limit on them.

Encode now sends at most 255 services, those with the most retries, and at most 255 entries of load. The largest report stays below the receivers' buffer of 4096 bytes: 255 * 5 + 255 * 8 + 8 * 7 + 33.

Reports on fewer services have the same bytes.

--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -82,14 +82,29 @@
 // version reads them as the load of two instances that it does not know.
 std::vector<load_entry> LoadToSend(const load_report& report) {
   std::vector<load_entry> load = report.load;
-  if (HasUpperHalves(report)) {
-    load.resize(std::min(load.size(), kMaxEntries - kUpperHalves));
+  const size_t reserved = HasUpperHalves(report) ? kUpperHalves : 0;
+  load.resize(std::min(load.size(), kMaxEntries - reserved));
+  if (reserved > 0) {
     load.push_back({UpperHalf(report.config_version.value()), 0});
     load.push_back({UpperHalf(report.instances_offset.value()), 0});
   }
   return load;
 }
 
+// The entries of the usage as they are sent. What is left out is not counted at
+// the peers, so it is the services with the fewest retries.
+std::vector<retry_usage> UsageToSend(const load_report& report) {
+  std::vector<retry_usage> usage = report.usage;
+  if (usage.size() > kMaxEntries) {
+    std::stable_sort(usage.begin(), usage.end(),
+                     [](const retry_usage& left, const retry_usage& right) {
+                       return left.retries > right.retries;
+                     });
+    usage.resize(kMaxEntries);
+  }
+  return usage;
+}
+
 void TakeUpperHalves(load_report& report) {
   if (report.load.size() < kUpperHalves) {
     throw codec_error("load report lacks upper halves of its numbers");
@@ -132,6 +147,7 @@
   PutField(body, LowerHalf(report.config_version.value()));
   PutField(body, LowerHalf(report.instances_offset.value()));
   PutField(body, report.zone);
+  const std::vector<retry_usage> usage = UsageToSend(report);
   PutField(body,
            static_cast<uint8_t>((report.leaving ? kLeavingFlag : 0) |
                                 (report.reads_store ? kReadsStoreFlag : 0) |
@@ -145,8 +161,8 @@
     PutField(body, entry.instance);
     PutField(body, entry.in_flight);
   }
-  PutField(body, static_cast<uint8_t>(report.usage.size()));
-  for (const retry_usage& entry : report.usage) {
+  PutField(body, static_cast<uint8_t>(usage.size()));
+  for (const retry_usage& entry : usage) {
     PutField(body, entry.service);
     PutField(body, entry.requests);
     PutField(body, entry.retries);
--- a/tests/balance/load_report_test.cc
+++ b/tests/balance/load_report_test.cc
@@ -92,6 +92,20 @@
   CHECK(Encode(Sample(), kKey)[kFlagsAt] == 3);  // as before
 }
 
+// The count of services was cut to a byte, and peers refused the report.
+TEST_CASE("a report on more than 255 services has those with most retries") {
+  load_report report = Sample();
+  report.usage.clear();
+  for (uint16_t service = 0; service < 300; ++service) {
+    report.usage.push_back({service, 9, service});
+  }
+  const load_report read = DecodeLoadReport(Encode(report, kKey), kKey);
+  CHECK(read.outcomes == report.outcomes);
+  REQUIRE(read.usage.size() == 255);
+  CHECK(read.usage.front() == report.usage.back());
+  CHECK(read.usage.back().retries == 45);
+}
+
 TEST_CASE("damaged, truncated and foreign reports are rejected") {
   const std::string good = Encode(Sample(), kKey);
   CHECK_THROWS_AS(DecodeLoadReport(good, "another key"), codec_error);
