Balance: numbers of reports and outcomes go on from 0 after 2^32

Both numbers have 32 bits on the wire and were compared as plain numbers. After 2^32 reports of one process, which a node that takes 1000 requests a second on its last slots makes in 50 days, its peers ignored its load and outcomes until it restarted; after 2^32 outcomes, the outcomes.

Numbers are now compared by their difference (IsLater). The last outcome's number is none after a start, so a peer that first hears of a process with a large number applies its outcomes. Nothing changes on the wire.

Ruled out: the incarnation, which wraps every two years; peers accept a lower one after a short silence, as before.

--- a/balance/instance_selector.cc
+++ b/balance/instance_selector.cc
@@ -237,7 +237,7 @@
   const bool is_outdated_start = report.incarnation < state.incarnation &&
                                  now - state.heard_at < kPeerTimeout;
   if (is_outdated_start ||
-      (is_same_start && report.number <= state.report_number)) {
+      (is_same_start && !IsLater(report.number, state.report_number))) {
     return;
   }
   state.heard_at = now;
@@ -245,10 +245,10 @@
   ApplyLoad(report.load, state, now);
   if (!is_same_start) {
     state.incarnation = report.incarnation;
-    state.outcome_number = 0;
+    state.outcome_number.reset();
   }
   for (const outcome_entry& entry : report.outcomes) {
-    if (entry.number <= state.outcome_number) {
+    if (state.outcome_number && !IsLater(entry.number, *state.outcome_number)) {
       continue;
     }
     state.outcome_number = entry.number;
--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -179,8 +179,9 @@
   };
   struct peer_state {
     uint32_t incarnation = 0;
-    uint32_t report_number = 0;   ///< Of the last report applied.
-    uint32_t outcome_number = 0;  ///< Of the last outcome applied.
+    uint32_t report_number = 0;  ///< Of the last report applied.
+    /// Of the last outcome applied; none since the peer's start.
+    std::optional<uint32_t> outcome_number;
     millis heard_at;
     std::vector<load_entry> load;
   };
--- a/balance/load_report.cc
+++ b/balance/load_report.cc
@@ -136,18 +136,24 @@
   return static_cast<uint32_t>(Hash64(address)) | 1;
 }
 
+// A busy node makes 2^32 reports within months, and the difference of two
+// numbers that are near each other is right across the end.
+bool IsLater(uint32_t number, uint32_t other) {
+  return number != other && number - other <= INT32_MAX;
+}
+
 // Fixed-width big-endian numbers keep a report of a few entries below a hundred
 // bytes. Every byte crosses zones thousands of times a second.
 std::string Encode(const load_report& report, std::string_view fleet_key) {
   const bool has_upper_halves = HasUpperHalves(report);
   const std::vector<load_entry> load = LoadToSend(report);
+  const std::vector<retry_usage> usage = UsageToSend(report);
   std::string body;
   PutField(body, report.incarnation);
   PutField(body, report.number);
   PutField(body, LowerHalf(report.config_version.value()));
   PutField(body, LowerHalf(report.instances_offset.value()));
   PutField(body, report.zone);
-  const std::vector<retry_usage> usage = UsageToSend(report);
   PutField(body,
            static_cast<uint8_t>((report.leaving ? kLeavingFlag : 0) |
                                 (report.reads_store ? kReadsStoreFlag : 0) |
--- a/balance/load_report.h
+++ b/balance/load_report.h
@@ -27,6 +27,10 @@
 /// Returns a number that differs between most starts of an instance.
 uint16_t StartKeyOf(int64_t started_at);
 
+/// Returns whether a report or an outcome came after another one of the same
+/// process. The numbers go on from 0 after the largest.
+bool IsLater(uint32_t number, uint32_t other);
+
 /// The requests that one node has in flight at one instance.
 struct load_entry {
   instance_key instance = 0;
@@ -37,7 +41,7 @@
 
 /// The outcome of an attempt that ended, or that is slow and still in flight.
 struct outcome_entry {
-  uint32_t number = 0;  ///< Increases by one with each outcome of the node.
+  uint32_t number = 0;  ///< Increases by one with each outcome, see IsLater.
   instance_key instance = 0;
   attempt_outcome outcome = attempt_outcome::kOk;
   millis age;  ///< Time from the outcome to the report, at most a minute.
@@ -59,8 +63,8 @@
 /// What a node reports to its peers: its complete load and its latest outcomes.
 /// Each report repeats outcomes of earlier ones, so a lost one does no harm.
 struct load_report {
-  uint32_t incarnation = 0;  ///< Increases with each start of the sender.
-  uint32_t number = 0;       ///< Increases with each report of the process.
+  uint32_t incarnation = 0;  ///< Increases with most starts of the sender.
+  uint32_t number = 0;       ///< Increases with each report, see IsLater.
   /// Of the configuration that the sender has in force.
   peridotarch::config_version config_version;
   /// Offset of the last change to the instances that the sender knows.
