Balance: a retry slack that no int holds allows retries

A cast of a double that does not fit an int is undefined. With retry_budget_slack=3e9 x86-64 gives INT_MIN, so that no retry was allowed; arm64 gives INT_MAX. The budget is now clamped.

The test passes on arm64 also before; there the fault shows under -fsanitize=float-cast-overflow, on the code of: fleet_retry_budget.cc:72: 2.76e+09 is outside the range of representable values of type 'int'.

--- a/balance/fleet_retry_budget.cc
+++ b/balance/fleet_retry_budget.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/narrow.h"
+
 namespace peridotarch {
 
 namespace {
@@ -67,8 +69,8 @@
   const double slack = limits_.slack * state.nodes_heard / state.nodes_known;
   const int steps = std::clamp(priority - 1, 0, kMaxPrioritySteps);
   const double share = kUsableShare - kPriorityShare * steps;
-  state.used = static_cast<int>(retries);
-  state.allowed = static_cast<int>(
+  state.used = Clamped<int>(retries);
+  state.allowed = Clamped<int>(
       share * (limits_.ratio * static_cast<double>(requests) + slack));
   return state;
 }
--- a/tests/balance/fleet_retry_budget_test.cc
+++ b/tests/balance/fleet_retry_budget_test.cc
@@ -1,6 +1,7 @@
 #include "balance/fleet_retry_budget.h"
 
 #include <catch2/catch.hpp>
+#include <climits>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,15 @@
   CHECK(after_silence.allowed <= 5);
 }
 
+// The cast of such a number is undefined: x86-64 allowed no retry.
+TEST_CASE("a slack that no int holds allows retries") {
+  for (const double slack : {3e9, 1e300}) {
+    fleet_retry_budget budget({0.2, slack, millis(10'000)});
+    CHECK(budget.StateFor("payout", 0, millis(0)).allowed == INT_MAX);
+    CHECK(budget.TakeRetry("payout", 0, millis(0)));
+  }
+}
+
 TEST_CASE("retries taken are available again after the window") {
   fleet_retry_budget budget({0, 4, millis(10'000)});
   millis now(1'000'000);
