Platform: times in the settings that 64 bits don't hold are refused

grace_s=1e300 and retry_window_s=1e16 were taken: llround of a number out of range is unspecified, and gave the largest time on arm64 and the least on x86-64.

--- a/tests/platform/boot_settings_test.cc
+++ b/tests/platform/boot_settings_test.cc
@@ -102,3 +102,6 @@
 
 }  // namespace
 }  // namespace peridotarch
+  // A time that 64 bits don't hold was taken for another one.
+  CHECK(ErrorOf(WithBounds("grace_s=1e300")).find("setting grace_s") == 0);
+  CHECK(ErrorOf(WithBounds("retry_window_s=1e16")).find("setting retry_") == 0);
