Platform: a node's name longer than a key of the store is refused

A record of the store has the length of its key in one byte, and store_client::Put cut the length of the node's name to it: with 256 bytes the node announced itself under an empty key, and no other node found it.

--- a/tests/platform/boot_settings_test.cc
+++ b/tests/platform/boot_settings_test.cc
@@ -89,6 +89,13 @@
   }
 }
 
+// The store's record of the node had the length of the name cut to a byte.
+TEST_CASE("a node's name has at most 255 bytes") {
+  const std::string longest(255, 'x');
+  CHECK(ErrorOf("node=" + longest + "\n").find("setting zone") == 0);
+  CHECK(ErrorOf("node=" + longest + "x\n").find("setting node") == 0);
+}
+
 TEST_CASE("a bad setting is named with what is allowed") {
   std::string bad = kGood;
   bad.replace(bad.find("10.0.0.1:80"), 11, "10.0.0.1:xx");
@@ -96,12 +103,12 @@
         "setting callers: \"10.0.0.1:xx\" is not allowed; allowed: IP:PORT");
   CHECK(ErrorOf(WithBounds("grace_s=-")).find("setting grace_s") == 0);
   CHECK(ErrorOf(WithBounds("{\"grace_s\":-1}")).find("setting grace_s") == 0);
+  // A time that 64 bits don't hold was taken for another one.
+  CHECK(ErrorOf(WithBounds("grace_s=1e300")).find("setting grace_s") == 0);
+  CHECK(ErrorOf(WithBounds("retry_window_s=1e16")).find("setting retry_") == 0);
   CHECK(ErrorOf("node=x\n").find("setting zone") == 0);
   CHECK_THROWS_AS(ReadBootSettings("missing-file"), settings_error);
 }
 
 }  // namespace
 }  // namespace peridotarch
-  // A time that 64 bits don't hold was taken for another one.
-  CHECK(ErrorOf(WithBounds("grace_s=1e300")).find("setting grace_s") == 0);
-  CHECK(ErrorOf(WithBounds("retry_window_s=1e16")).find("setting retry_") == 0);
