Core: times that 64 bits don't hold become the nearest ones

Times from other processes (records of the log, forwarded calls, gossip, Retry-After) are added, subtracted and multiplied without a limit, and a signed overflow is undefined. millis now stops at its bounds.

--- a/core/millis.h
+++ b/core/millis.h
@@ -8,7 +8,8 @@
 namespace peridotarch {
 
 /// A time in milliseconds: an instant of some clock, or a span between two
-/// instants.
+/// instants. Sums, differences and products that 64 bits don't hold become the
+/// nearest time that they hold, since some times come from other processes.
 class millis {
  public:
   constexpr millis() = default;
@@ -19,13 +20,22 @@
 
   constexpr auto operator<=>(const millis&) const = default;
   constexpr millis operator+(millis other) const {
-    return millis(count_ + other.count_);
+    int64_t sum = 0;
+    return __builtin_add_overflow(count_, other.count_, &sum)
+               ? Bound(count_ < 0)
+               : millis(sum);
   }
   constexpr millis operator-(millis other) const {
-    return millis(count_ - other.count_);
+    int64_t difference = 0;
+    return __builtin_sub_overflow(count_, other.count_, &difference)
+               ? Bound(count_ < 0)
+               : millis(difference);
   }
   constexpr millis operator*(int64_t factor) const {
-    return millis(count_ * factor);
+    int64_t product = 0;
+    return __builtin_mul_overflow(count_, factor, &product)
+               ? Bound((count_ < 0) != (factor < 0))
+               : millis(product);
   }
   constexpr millis operator/(int64_t divisor) const {
     return millis(count_ / divisor);
@@ -33,6 +43,10 @@
   constexpr millis& operator+=(millis other) { return *this = *this + other; }
 
  private:
+  static constexpr millis Bound(bool is_low) {
+    return millis(is_low ? INT64_MIN : INT64_MAX);
+  }
+
   int64_t count_ = 0;
 };
 
--- a/tests/core/core_test.cc
+++ b/tests/core/core_test.cc
@@ -48,6 +48,19 @@
   SetBreachesFatal(false);
 }
 
+// Times from other processes are added to and multiplied.
+TEST_CASE("a time that 64 bits do not hold becomes the nearest one") {
+  constexpr millis kMost(INT64_MAX);
+  constexpr millis kLeast(INT64_MIN);
+  CHECK(kMost + millis(1) == kMost);
+  CHECK(kLeast + millis(-1) == kLeast);
+  CHECK(millis(-2) - kMost == kLeast);
+  CHECK(millis(0) - kLeast == kMost);
+  CHECK(kMost * -2 == kLeast);
+  CHECK(kLeast * -1 == kMost);
+  CHECK(kMost + kLeast == millis(-1));
+}
+
 TEST_CASE("SHA-256 and HMAC-SHA-256 give the published vectors") {
   REQUIRE(ToHex(Sha256("abc")) ==
           "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
