Proxy: a Retry-After or key status out of range is read as a number

Both are now read with limits.

Ruled out: a Content-Length of 2^64, which is refused with 400 as before; a check is added.

--- a/proxy/message.cc
+++ b/proxy/message.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <array>
+#include <climits>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 
+#include "core/host_port.h"
 #include "inner/headers.h"
 #include "platform/hop_headers.h"
 
@@ -39,9 +42,14 @@
                       [](unsigned char c) { return c <= 0x20 || c == 0x7f; });
 }
 
+// Returns 0 for what is no number, such as an upstream's date.
+int64_t NumberIn(std::string_view text, int64_t max) {
+  return ParseNumber(text, 0, max).value_or(0);
+}
+
 int64_t ToWholeSeconds(millis span) {
-  return std::max<int64_t>(
-      1, (span.count() + kMillisPerSecond - 1) / kMillisPerSecond);
+  const millis rounded_up = span + millis(kMillisPerSecond - 1);
+  return std::max<int64_t>(1, (rounded_up / kMillisPerSecond).count());
 }
 
 }  // namespace
@@ -133,9 +141,11 @@
   }
   result.why = *why;
   result.run_verdict = *run_verdict;
-  const std::string seconds(reply[http::field::retry_after]);
-  result.retry_after = millis(std::atoll(seconds.c_str()) * kMillisPerSecond);
-  result.key_status = std::atoi(std::string(reply[kKeyStatusHeader]).c_str());
+  result.retry_after =
+      millis(NumberIn(reply[http::field::retry_after], INT64_MAX)) *
+      kMillisPerSecond;
+  result.key_status =
+      static_cast<int>(NumberIn(reply[kKeyStatusHeader], INT_MAX));
   result.answer = std::move(reply);
   return result;
 }
--- a/tests/proxy/bad_input_test.cc
+++ b/tests/proxy/bad_input_test.cc
@@ -90,6 +90,7 @@
   CHECK(get(host + "Transfer-Encoding: gzip, chunked\r\n") == 400);
   CHECK(get(host + "Content-Length: -1\r\n") == 400);
   CHECK(get(host + "Content-Length: 1x\r\n") == 400);
+  CHECK(get(host + "Content-Length: 18446744073709551616\r\n") == 400);
   CHECK(get(host + "Bad Header\r\n") == 400);
   CHECK(get(host + "Bad Name: x\r\n") == 400);
   CHECK(get(host + "Idempotency-Key: 1-a\r\nIdempotency-Key: 1-b\r\n") == 400);
@@ -131,6 +132,16 @@
   CHECK(FromReply(http_response()).why == reason::kOwnerLost);
 }
 
+// An upstream's Retry-After in ms did not fit 64 bits.
+TEST_CASE("a result with a number that is out of range is read") {
+  http_response reply = ToReply(Refusal(reason::kNoCapacity, millis(2000)));
+  reply.set("Retry-After", "9223372036854775807");
+  reply.set("Request-Key-Status", "99999999999");
+  const call_result got = FromReply(std::move(reply));
+  CHECK(got.retry_after == millis(INT64_MAX));
+  CHECK(got.key_status == 0);
+}
+
 TEST_CASE("a reply is whole when its body has the length that it says") {
   http_response reply(boost::beast::http::status::ok, 11);
   reply.body() = "body";
