Core: counts of a latency summary's buckets have 64 bits

After 2^32 samples in one bucket, about 50 days at 1000 requests a second, the bucket began again from 0 while the count of all samples did not, so the quantiles were wrong. No test: it would have to record 2^32 samples.

--- a/core/latency_buckets.h
+++ b/core/latency_buckets.h
@@ -17,7 +17,7 @@
 inline constexpr size_t kLatencyBucketCount = 8 * 30;
 
 /// Counts of samples by bucket.
-using latency_counts = std::array<uint32_t, kLatencyBucketCount>;
+using latency_counts = std::array<uint64_t, kLatencyBucketCount>;
 
 /// Returns the bucket of a latency in microseconds.
 size_t LatencyBucketOf(uint64_t micros);
