Config: letters outside ASCII in a path are the same on all processors

The check for blanks compared a char, which is signed on x86-64: a node or a command there refused a path with such a letter, and a node on arm64 took it, so that a fleet of both did not agree on a revision. The rule of arm64 now holds on both.

Shown by a compile of config/parse.cc with -fsigned-char: one problem before, none now (none both times with -funsigned-char). The other uses of char in comparisons are casts to unsigned char or equalities.

--- a/config/parse.cc
+++ b/config/parse.cc
@@ -64,13 +64,16 @@
   return rule;
 }
 
+// The bytes of letters outside ASCII are negative as a char on x86-64.
+bool IsPathByte(unsigned char byte) { return byte > 0x20; }
+
 // Segments are compared byte by byte, so a pattern must not contain a query or
 // an empty segment, which a normalized path never has.
 void CheckRoutePattern(rule_reader& in, const word& pattern) {
   std::string_view rest = pattern.text;
   bool is_valid = rest.starts_with('/') &&
                   rest.find_first_of("?#%\\") == std::string_view::npos &&
-                  std::ranges::all_of(rest, [](char c) { return c > 0x20; });
+                  std::ranges::all_of(rest, IsPathByte);
   size_t segments = 0;
   while (is_valid && !rest.empty()) {
     rest.remove_prefix(1);
--- a/tests/config/parse_test.cc
+++ b/tests/config/parse_test.cc
@@ -45,6 +45,12 @@
   CHECK(rule_set.isolation.serve == millis(600'000));
 }
 
+// Nodes on x86-64 refused rules that nodes on arm64 took.
+TEST_CASE("a path may have letters outside ASCII") {
+  CHECK(Problems("route GET /caf\xc3\xa9 -> desk idempotent timeout 1s # a\n")
+            .empty());
+}
+
 TEST_CASE("each problem has a position, what was found and what is allowed") {
   struct example {
     std::string line;
