Platform, front: offsets have their type from the decoder on

Pages of records, the mirror, the client and the followed topics held plain integers. They now hold record_offset, and what compares positions of either topic holds topic_position.

No functional change.

--- a/balance/record_lag.cc
+++ b/balance/record_lag.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-void record_lag::NoteAnnounced(uint64_t position, millis now) {
+void record_lag::NoteAnnounced(topic_position position, millis now) {
   if (position <= known_ || position == absent_ ||
       (!missing_.empty() && position <= missing_.back().position)) {
     return;
@@ -26,7 +26,7 @@
   missing_.push_back({position, now});
 }
 
-void record_lag::NoteKnown(uint64_t position) {
+void record_lag::NoteKnown(topic_position position) {
   known_ = position > known_ ? position : known_;
   while (!missing_.empty() && missing_.front().position <= known_) {
     missing_.pop_front();
--- a/balance/record_lag.h
+++ b/balance/record_lag.h
@@ -1,11 +1,11 @@
 #ifndef BALANCE_RECORD_LAG_H_
 #define BALANCE_RECORD_LAG_H_
 
-#include <cstdint>
 #include <deque>
 #include <optional>
 
 #include "core/millis.h"
+#include "core/store_count.h"
 
 namespace peridotarch {
 
@@ -15,9 +15,9 @@
 class record_lag {
  public:
   /// Notes that a peer knows the records up to `position`.
-  void NoteAnnounced(uint64_t position, millis now);
+  void NoteAnnounced(topic_position position, millis now);
   /// Notes that this node knows the records up to `position`.
-  void NoteKnown(uint64_t position);
+  void NoteKnown(topic_position position);
   /// Notes a successful read of the store that began at `began_at`. It returned
   /// all records that existed then, so what was announced before and is still
   /// missing does not exist, and is ignored if it is announced again.
@@ -34,12 +34,12 @@
 
  private:
   struct announcement {
-    uint64_t position = 0;
+    topic_position position;
     millis first_heard_at;
   };
 
-  uint64_t known_ = 0;
-  uint64_t absent_ = 0;               ///< Announced, but not in the store.
+  topic_position known_;
+  topic_position absent_;             ///< Announced, but not in the store.
   std::deque<announcement> missing_;  ///< By rising position and time.
 };
 
--- a/core/store_count.h
+++ b/core/store_count.h
@@ -31,6 +31,10 @@
 /// A position in a topic of the store.
 using record_offset = store_count<struct record_offset_kind>;
 
+/// How far a node knows a topic: the configuration by its version, others by an
+/// offset.
+using topic_position = store_count<struct topic_position_kind>;
+
 }  // namespace peridotarch
 
 #endif  // CORE_STORE_COUNT_H_
--- a/front/followed_topic.h
+++ b/front/followed_topic.h
@@ -2,7 +2,6 @@
 #define FRONT_FOLLOWED_TOPIC_H_
 
 #include <boost/asio/steady_timer.hpp>
-#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -29,7 +28,7 @@
 
   const std::string_view name;
   store_client client;
-  std::optional<uint64_t> next_offset;  ///< Where to read on.
+  std::optional<record_offset> next_offset;  ///< Where to read on.
   record_lag lag;
   bool reached = true;          ///< The last read as a reader succeeded.
   bool read_waits = false;      ///< The next read waits for a change.
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -90,13 +90,13 @@
   }
 }
 
-uint64_t store_watch::PositionIn(const followed_topic& topic) const {
+topic_position store_watch::PositionIn(const followed_topic& topic) const {
   return IsConfig(topic) ? node_->ConfigVersion().value()
                          : node_->instances_offset.value();
 }
 
-uint64_t store_watch::PositionOf(const peer_ahead& peer,
-                                 const followed_topic& topic) const {
+topic_position store_watch::PositionOf(const peer_ahead& peer,
+                                       const followed_topic& topic) const {
   return IsConfig(topic) ? peer.config_version.value()
                          : peer.instances_offset.value();
 }
@@ -116,7 +116,7 @@
 }
 
 bool store_watch::ApplyConfig(const keyed_page& page, std::string_view source) {
-  const uint64_t known = config_.next_offset.value_or(0);
+  const record_offset known = config_.next_offset.value_or(record_offset());
   config_.next_offset = std::max(page.next, known);
   if (page.next < known) {
     return false;
@@ -243,7 +243,7 @@
 // after a peer has given newer records, and would bring back instances that
 // have left.
 void store_watch::ApplyInstances(const keyed_page& page) {
-  instances_.next_offset = std::max(page.next, node_->instances_offset.value());
+  instances_.next_offset = std::max(page.next, node_->instances_offset);
   if (page.next < node_->instances_offset) {
     return;
   }
@@ -287,7 +287,7 @@
   node_->log.Write("instances_changed",
                    {{"instances", entries.size()},
                     {"draining", draining},
-                    {"offset", instances_.next_offset.value_or(0)},
+                    {"offset", instances_.next_offset.value_or(0).value()},
                     {"source", source},
                     {"behind_ms", instances_.lag.BehindFor(now).count()}});
   return true;
@@ -305,12 +305,13 @@
   node_->on_load_change(load_change::kRecordsChanged, 0);
 }
 
-void store_watch::NoteCaughtUp(const followed_topic& topic, uint64_t position) {
+void store_watch::NoteCaughtUp(const followed_topic& topic,
+                               topic_position position) {
   record_offset& changed_at = node_->instances_changed_at;
   if (!IsConfig(topic) && changed_at == record_offset()) {
     changed_at = node_->instances_offset;
-  } else if (!IsConfig(topic) && node_->instances_offset >= position) {
-    changed_at = std::max(changed_at, record_offset(position));
+  } else if (!IsConfig(topic) && PositionIn(topic) >= position) {
+    changed_at = std::max(changed_at, record_offset(position.value()));
   }
   node_->on_load_change(load_change::kCaughtUp, 0);
 }
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -46,9 +46,9 @@
     return &topic == &config_;
   }
   /// Returns the position of this node, or of a peer, in a topic.
-  [[nodiscard]] uint64_t PositionIn(const followed_topic& topic) const;
-  [[nodiscard]] uint64_t PositionOf(const peer_ahead& peer,
-                                    const followed_topic& topic) const;
+  [[nodiscard]] topic_position PositionIn(const followed_topic& topic) const;
+  [[nodiscard]] topic_position PositionOf(const peer_ahead& peer,
+                                          const followed_topic& topic) const;
   /// Returns whether what callers are served by has changed.
   bool Apply(followed_topic& topic, const keyed_page& page,
              std::string_view source);
@@ -59,7 +59,7 @@
   bool PublishInstances(std::string_view source);
   void AnnounceChange(const followed_topic& topic);
   /// Tells some nodes that this one has the records up to `position`.
-  void NoteCaughtUp(const followed_topic& topic, uint64_t position);
+  void NoteCaughtUp(const followed_topic& topic, topic_position position);
   [[nodiscard]] bool DelegatesReads(const followed_topic& topic) const;
   /// Returns whether this node reads the store for others or after an outage,
   /// and not only because it is late.
--- a/front/store_watch_peers.cc
+++ b/front/store_watch_peers.cc
@@ -46,7 +46,7 @@
       remote.address == node_->settings.control.host) {
     co_return;
   }
-  const std::optional<uint64_t> known = topic.next_offset;
+  const std::optional<record_offset> known = topic.next_offset;
   try {
     store_client peer(node_->context.get_executor(), remote,
                       record_server::kPeer);
@@ -62,7 +62,7 @@
         {{"peer", remote.address},
          {"topic", topic.name},
          {"error", failure.what()},
-         {"known", known.value_or(0)},
+         {"known", known.value_or(0).value()},
          {"behind_ms", topic.lag.BehindFor(boot_clock::Now()).count()}});
     node_->counters
         .Counter("peer_read_failures_total",
@@ -76,7 +76,7 @@
 void store_watch::CatchUp(const peer_ahead& peer) {
   const millis now = boot_clock::Now();
   for (followed_topic* topic : {&config_, &instances_}) {
-    const uint64_t position = PositionOf(peer, *topic);
+    const topic_position position = PositionOf(peer, *topic);
     if (position <= PositionIn(*topic)) {
       continue;
     }
@@ -120,7 +120,7 @@
     co_await WaitForTurn(topic);
   }
   const peer_ahead peer = topic.source;
-  const uint64_t position = PositionOf(peer, topic);
+  const topic_position position = PositionOf(peer, topic);
   const endpoint remote{peer.address, node_->settings.control.port};
   if (position > PositionIn(topic)) {
     co_await ReadFromPeer(topic, remote);
--- a/tests/front/store_test.cc
+++ b/tests/front/store_test.cc
@@ -271,7 +271,7 @@
   mirror.Take("keyed.servers", page);
   page.whole = false;
   for (int64_t sequence = 2; sequence < 500; ++sequence) {
-    page.next += 2;
+    page.next = page.next.value() + 2;
     page.records = {
         {"i-1", entry("ready", sequence)},
         {"i-2", entry(sequence < 300 ? "ready" : "draining", sequence)}};
@@ -280,7 +280,7 @@
   const auto answer = nlohmann::json::parse(
       mirror.Answer("/-/log-newest?part=0&topic=keyed.servers&known=2").body());
   CHECK(answer["changes_only"] == true);
-  CHECK(answer["end_offset"] == page.next);
+  CHECK(answer["end_offset"] == page.next.value());
   REQUIRE(answer["items"].size() == 1);
   CHECK(answer["items"][0]["key"] == "i-2");
 }
