--- a/balance/fleet_config.h
+++ b/balance/fleet_config.h
@@ -2,11 +2,11 @@
 #define BALANCE_FLEET_CONFIG_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <string>
 #include <vector>
 
 #include "core/millis.h"
+#include "core/store_count.h"
 
 namespace peridotarch {
 
@@ -45,7 +45,7 @@
 
 /// A complete configuration. Its version only increases.
 struct fleet_config {
-  uint64_t version = 0;
+  config_version version;
   std::vector<host_route> routes;
   std::vector<fleet_service> services;
   caller_limits limits;
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -140,8 +140,8 @@
 bool store_watch::PutConfigInForce(fleet_config config,
                                    std::string_view source) {
   const auto previous = node_->routes.Load();
-  const uint64_t old_version = previous ? previous->config().version : 0;
-  const uint64_t version = config.version;
+  const config_version old_version = node_->ConfigVersion();
+  const config_version version = config.version;
   if (previous && version <= old_version) {
     return false;
   }
@@ -151,8 +151,8 @@
   node_->routes.Store(std::make_shared<const route_index>(std::move(config)));
   node_->log.Write(
       "config_in_force",
-      {{"version", version},
-       {"before", old_version},
+      {{"version", version.value()},
+       {"before", old_version.value()},
        {"routes", routes},
        {"source", source},
        {"behind_ms", config_.lag.BehindFor(boot_clock::Now()).count()}});
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -129,7 +129,7 @@
     route.latency_objective = objective;
     route.max_attempts = 2;
     route.services = {{"s", 1}};
-    config_.version += 1;
+    config_.version = config_.version.value() + 1;
     config_.routes.push_back(route);
     node->routes.Store(std::make_shared<const route_index>(config_));
   }
