Build: a number that is cut to a narrower type is an error everywhere

-Wconversion was on for balance alone. It is now on for all packages and tests, with fractions. It found few places: a start time that 32 bits hold by construction, the length of a key's digest, a latency and three figures of the measuring programs.

No functional change.

--- a/core/latency_buckets.cc
+++ b/core/latency_buckets.cc
@@ -18,7 +18,8 @@
   if (micros < kLinearBuckets) {
     return micros;
   }
-  const unsigned shift = std::bit_width(micros) - 1 - kLinearBits;
+  const auto shift =
+      static_cast<unsigned>(std::bit_width(micros)) - 1 - kLinearBits;
   const uint64_t within = (micros >> shift) - kLinearBuckets;
   const size_t bucket = (shift + 1) * kLinearBuckets + within;
   return std::min(bucket, kLatencyBucketCount - 1);
--- a/core/latency_buckets.h
+++ b/core/latency_buckets.h
@@ -10,6 +10,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "core/narrow.h"
+
 namespace peridotarch {
 
 /// Number of log-linear buckets: eight for each power of two up to 2^32
@@ -35,7 +37,8 @@
 
   template <typename Args>
   void operator()(const Args& args) {
-    ++counts_[LatencyBucketOf(args[boost::accumulators::sample])];
+    ++counts_[LatencyBucketOf(
+        Clamped<uint64_t>(args[boost::accumulators::sample]))];
   }
   result_type result(boost::accumulators::dont_care) const { return counts_; }
 
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -32,8 +32,8 @@
 
   boost::asio::io_context& context;
   node_settings settings;
-  /// Start time by the wall clock, in units of 16 ms.
-  const uint64_t incarnation;
+  /// Start time by the wall clock, in units of 16 ms; it wraps.
+  const uint32_t incarnation;
   const millis started_at;
   rcu_cell<route_index> routes;  ///< Null until a configuration was read.
   instance_selector selector;
--- a/request/claim_record.cc
+++ b/request/claim_record.cc
@@ -21,9 +21,10 @@
 void PackEntry(packer& out, const claim_entry& entry) {
   out.pack_array(kEntryFields);
   out.pack(static_cast<int>(entry.kind));
-  out.pack_bin(entry.key.id.size());
+  const auto id_bytes = static_cast<uint32_t>(entry.key.id.size());
+  out.pack_bin(id_bytes);
   out.pack_bin_body(reinterpret_cast<const char*>(entry.key.id.data()),
-                    entry.key.id.size());
+                    id_bytes);
   out.pack(entry.key.issued.count());
   out.pack(entry.sequence);
   out.pack(entry.status);
--- a/tests/measure/gossip_cost.cc
+++ b/tests/measure/gossip_cost.cc
@@ -94,8 +94,9 @@
   const double node_seconds = static_cast<double>(count) * seconds;
   std::printf(
       "%5d | %8.2f %8.2f | %6.1f | %7lu | %8.3f %8.3f | %8.1f | %d\n", count,
-      2.0 * total.sent / node_seconds / 1000,
-      2.0 * most_in_a_second / count / 1000, total.messages / node_seconds,
+      2.0 * static_cast<double>(total.sent) / node_seconds / 1000,
+      2.0 * static_cast<double>(most_in_a_second) / count / 1000,
+      static_cast<double>(total.messages) / node_seconds,
       static_cast<unsigned long>(total.largest), 100 * cpu / node_seconds,
       100 * codec_cpu / node_seconds,
       static_cast<double>(after - before) / count / 1000, until_converged);
--- a/tests/measure/judge_quality.cc
+++ b/tests/measure/judge_quality.cc
@@ -44,7 +44,8 @@
   [[nodiscard]] std::string Quantile(double share) const {
     std::vector<double> sorted = seconds;
     std::sort(sorted.begin(), sorted.end());
-    const auto at = static_cast<size_t>(share * (sorted.size() + missed));
+    const auto at = static_cast<size_t>(
+        share * (static_cast<double>(sorted.size()) + missed));
     if (at >= sorted.size()) {
       return ">" + std::to_string(kHorizon / kSecond);
     }
