Soak: silent connections and those that consumers hold keep an owner

The task of a silent connection, and the one that holds a consumer's connection until the node closes it, were known only to objects that nothing else referred to once the consumer had ended, so they could be collected and the connection closed early. No fault of the program.

No functional change.

--- a/scripts/lib/soak_link.py
+++ b/scripts/lib/soak_link.py
@@ -1,4 +1,4 @@
-"""A link on loopback that can be slow, cut in one direction, reset or silent."""
+"""A link on loopback that can be slow, cut, reset or silent."""
 
 import asyncio
 import socket
@@ -28,6 +28,7 @@
         self.cut = ""
         self.silent = set()  # connections that carry nothing any more
         self.open = {}  # connection: its two writers
+        self.tasks = set()  # a silent connection's task has no other owner
         self.healed = asyncio.Event()
         self.healed.set()
         self.address = None
@@ -69,6 +70,7 @@
         no_delay(far_writer)
         connection = object()
         self.open[connection] = (writer, far_writer)
+        self.tasks.add(asyncio.current_task())
         try:
             await asyncio.gather(
                 self._pass_on(connection, reader, far_writer, "in"),
@@ -81,6 +83,7 @@
         finally:
             self.open.pop(connection, None)
             self.silent.discard(connection)
+            self.tasks.discard(asyncio.current_task())
 
     async def _pass_on(self, connection, reader, writer, direction):
         while True:
