Process tests: only an answer counts as passed on

leaving_instance took the end of each request for the moment when the machine had passed on that the instance is leaving.

Now the time of an answer counts, and a request without one says nothing.

No functional change.

--- a/tests/process/consumers.py
+++ b/tests/process/consumers.py
@@ -14,8 +14,8 @@
     the connection had carried a request before). A result is a status,
     "closed" for a connection that ends without a whole answer, "timeout", or
     "foreign" for the answer to another request. `sent` of the fleet gets the
-    proxy and the time of each request before it is sent, `ended` the time of
-    its end.
+    proxy and the time of each request before it is sent, `answered` the time of
+    its answer, if it has one.
     """
 
     counter = 0
@@ -85,7 +85,9 @@
         except (OSError, asyncio.IncompleteReadError):
             self.drop()
         record(f"consumer has {request}: {result}")
-        ended = self.fleet.ended[request] = time.monotonic()
+        ended = time.monotonic()
+        if isinstance(result, int):
+            self.fleet.answered[request] = ended
         self.fleet.answers.append((request, result, sent, ended,
                                    self.proxy.number, kept))
         return result
--- a/tests/process/notices.py
+++ b/tests/process/notices.py
@@ -116,9 +116,9 @@
     told = {}
     for request in instance.told_leaving:
         machine, _ = machine_of(fleet, request)
-        if request in fleet.ended:
-            ended = fleet.ended[request]
-            told[machine] = min(told.get(machine, ended), ended)
+        if request in fleet.answered:
+            at = fleet.answered[request]
+            told[machine] = min(told.get(machine, at), at)
     return told
 
 
@@ -127,7 +127,7 @@
     ends = {}
     for at, request, values in instance.rests:
         machine, _ = machine_of(fleet, request)
-        if request in fleet.ended:
+        if request in fleet.answered:
             ends[machine] = max(ends.get(machine, 0.0),
                                 at + seconds_of(values))
     return ends
--- a/tests/process/standin.py
+++ b/tests/process/standin.py
@@ -42,7 +42,7 @@
         self.store = Store(self.record)
         self.instances = []
         self.runs, self.arrivals, self.answers = [], [], []
-        self.sent, self.ended = {}, {}  # request: (proxy, time), time
+        self.sent, self.answered = {}, {}  # request: (proxy, time), time
         deploy = (ROOT / "deploy" / "system.toml").read_text()
         found = re.search(r'^run = "([^"]*)"', deploy, re.M)
         self.command = os.environ.get("PROXY", found.group(1)).split()
