--- a/tests/process/standin.py
+++ b/tests/process/standin.py
@@ -43,7 +43,7 @@
         self.instances = []
         # Arrivals: (reached the instance, its name, request, was read there).
         self.runs, self.arrivals, self.answers = [], [], []
-        self.sent, self.ended = {}, {}  # request: (proxy, time), time
+        self.sent, self.answered = {}, {}  # request: (proxy, time), time
         deploy = (ROOT / "deploy" / "system.toml").read_text()
         found = re.search(r'^run = "([^"]*)"', deploy, re.M)
         self.command = os.environ.get("PROXY", found.group(1)).split()
