A request that ends by an exception is answered

What callers saw: nothing until their own timeout. The answers to requests behind it on the connection waited with it, and the slot at the instance was never freed at this node.

Cause: an exception that left the coroutine of a request was logged by SpawnLogged, but no answer was put into the connection's queue, and instance_selector::End was not called for the attempt in progress.

Change: ServeRequest catches it, logs and counts it as before (task_failed, task "request"), ends the attempt, and answers. 503 (internal_not_run, with Retry-After) if no byte was sent to an instance; else 500 (internal_error), which promises nothing, since an unsafe request may have run. The attempt in progress stays known until its verdict has been counted, so that an exception in between is not taken for a request that was not sent.

Evidence: "exception in a request: the caller is told whether it may have run" and "... one that was sent may have run" throw before the send, in the exchange and after the answer. Before: no answer within 2 s in all three (the tests failed with answer->has_value() false). After: 503, 500 and 500; the next request on the node is served, nothing is in flight and no slot is taken. All of front_test and request_test passed with the change.

Not covered: an exception in the task that reads a connection or writes its answers, or in the function of a timer.

--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -7,6 +7,7 @@
 
 #include "balance/request_deadlines.h"
 #include "core/invariant.h"
+#include "core/task_failure.h"
 #include "front/attempt_record.h"
 #include "front/record_wait.h"
 #include "front/retry_choice.h"
@@ -37,6 +38,8 @@
         waited_(boot_clock::Now() - state.arrived_at) {}
 
   awaitable<http_response> Run();
+  /// Returns the answer if an exception has left Run().
+  http_response AnswerException();
 
  private:
   std::optional<reason> Prepare();
@@ -55,7 +58,6 @@
     return route_->idempotent ? kMaxIdleTimeIdempotent : kMaxIdleTime;
   }
   void LogAttempt(const attempt_record& attempt, retry_choice retry);
-  void LogRetryDenied();
   void LogAnswer(reason why, int status, millis retry_after);
 
   front_node& node_;
@@ -71,6 +73,7 @@
   millis answer_deadline_;  ///< When the answer is sent at the latest.
   /// The budget granted the retry before the attempt ended.
   bool retry_taken_early_ = false;
+  instance_key attempted_ = 0;  ///< Of the latest attempt.
   std::vector<instance_key> tried_;
   std::vector<instance_key> excluded_;  ///< `tried_` and the slow instance.
   int instances_sent_to_ = 0;  ///< Instances that may have received a byte.
@@ -148,18 +151,19 @@
   params.max_idle_time = MaxIdleTime();
   node_.Verify(!params.instance.draining, invariant::kLeaving, terms_.id);
   const auto control = std::make_shared<exchange_control>();
-  state_.exchange = control;
   node_.selector.Begin(key);
+  attempted_ = key;
+  state_.exchange = control;
   node_.on_load_change(load_change::kSlotTaken, key);
   guarded_timer slow_timer(node_.context.get_executor());
   slow_timer.Start(attempt.choice.slow_after,
                    [this, key, control] { OnSlowAttempt(key, *control); });
   attempt.result = co_await node_.pool.Exchange(std::move(params), *control);
   const bool was_slow = !slow_timer.Stop();
-  state_.exchange = nullptr;
   attempt.latency = boot_clock::Now() - attempt_started_at;
   attempt.classification = Classify(attempt.result);
   CountAttempt(attempt);
+  state_.exchange = nullptr;
   if (was_slow && attempt.classification.outcome == attempt_outcome::kOk) {
     attempt.classification.outcome = attempt_outcome::kUnknown;
   }
@@ -265,22 +269,10 @@
                   {"repeat", ToName(retry)},
                   {"ms", attempt.latency.count()}});
   if (retry == retry_choice::kBudgetUsed) {
-    LogRetryDenied();
+    node_.LogRetryDenied(terms_.id, service_, route_->priority);
   }
 }
 
-void request_handler::LogRetryDenied() {
-  const retry_budget_state budget =
-      node_.retries.StateFor(service_, route_->priority, boot_clock::Now());
-  node_.log.Write("retry_denied", {{"request", terms_.id},
-                                   {"service", service_},
-                                   {"priority", route_->priority},
-                                   {"used", budget.used},
-                                   {"allowed", budget.allowed},
-                                   {"nodes_heard", budget.nodes_heard},
-                                   {"nodes_known", budget.nodes_known}});
-}
-
 void request_handler::LogAnswer(reason why, int status, millis retry_after) {
   const millis taken = boot_clock::Now() - started_at_;
   node_.CountAnswer(why, taken);
@@ -372,6 +364,18 @@
                                                   : Fail(attempt);
 }
 
+http_response request_handler::AnswerException() {
+  if (state_.exchange) {
+    possible_runs_ += state_.exchange->HasStartedSending() ? 1 : 0;
+    state_.exchange = nullptr;
+    node_.selector.End(attempted_, attempt_outcome::kUnknown, millis(0),
+                       boot_clock::Now(), KeyOf(route_->name));
+  }
+  return possible_runs_ > 0
+             ? Refuse(reason::kInternalError, millis(0))
+             : Refuse(reason::kInternalNotRun, kOtherNodeRetryAfter);
+}
+
 }  // namespace
 
 void caller_request::OnCallerLeft() {
@@ -384,7 +388,12 @@
 awaitable<http_response> ServeRequest(front_node& node, http_request request,
                                       caller_request& state) {
   request_handler handler(node, std::move(request), state);
-  co_return co_await handler.Run();
+  try {
+    co_return co_await handler.Run();
+  } catch (...) {
+    ReportTaskFailure("request", std::current_exception());
+    co_return handler.AnswerException();
+  }
 }
 
 }  // namespace peridotarch
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -96,6 +96,19 @@
       .Record(static_cast<uint64_t>(taken.count() * kMicrosPerMilli));
 }
 
+void front_node::LogRetryDenied(const std::string& request,
+                                const std::string& service, int priority) {
+  const retry_budget_state budget =
+      retries.StateFor(service, priority, boot_clock::Now());
+  log.Write("retry_denied", {{"request", request},
+                             {"service", service},
+                             {"priority", priority},
+                             {"used", budget.used},
+                             {"allowed", budget.allowed},
+                             {"nodes_heard", budget.nodes_heard},
+                             {"nodes_known", budget.nodes_known}});
+}
+
 // Closing a connection does not end its session at once, so the set does not
 // change meanwhile.
 void front_node::CloseIdleCallers(millis now) {
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -90,6 +90,9 @@
                                   millis time_left);
   /// Counts an answer to a caller by its reason, and records the time taken.
   void CountAnswer(reason why, millis taken);
+  /// Logs the state of the budget that denied a retry of the request.
+  void LogRetryDenied(const std::string& request, const std::string& service,
+                      int priority);
   /// Closes the connections of callers that have been idle for too long.
   void CloseIdleCallers(millis now);
   /// Handles what an answer says about its instance.
--- a/request/reason.cc
+++ b/request/reason.cc
@@ -41,6 +41,8 @@
     {503, kNotRun, true},       // shutting_down
     {503, kNotRun, true},       // isolated
     {503, kNotRun, true},       // not_configured
+    {500, kMayHaveRun, false},  // internal_error
+    {503, kNotRun, true},       // internal_not_run
 }};
 
 }  // namespace
--- a/request/reason.h
+++ b/request/reason.h
@@ -40,11 +40,13 @@
   kShuttingDown,   ///< This proxy is leaving; use another.
   kIsolated,       ///< The log and all peers have been silent for too long.
   kNotConfigured,  ///< This proxy has no rules yet.
+  kInternalError,  ///< An exception ended the request, which may have run.
+  kInternalNotRun,  ///< The same before any byte was sent to an instance.
 };
 
 template <>
 struct names_of<reason> {
-  static constexpr std::array<std::string_view, 29> kTable = {
+  static constexpr std::array<std::string_view, 31> kTable = {
       "answered",           "bad_request",
       "too_large",          "headers_too_large",
       "request_timeout",    "no_route",
@@ -59,7 +61,8 @@
       "key_expired",        "key_in_future",
       "key_malformed",      "log_away",
       "shutting_down",      "isolated",
-      "not_configured"};
+      "not_configured",     "internal_error",
+      "internal_not_run"};
 };
 
 /// The reply to a caller for a reason.
