A draining node refuses a request that it could not send in time

What callers saw: 504 from a draining node for a request of which no byte had been sent to an instance. 504 does not say that the request has not run, so an unsafe request could not be sent again.

Cause: the deadline is capped by the node's exit. If it passed between the choice of an instance and the write, the attempt ended as a timeout with nothing written, whose reason is deadline_expired (504).

Change: at a draining node the reason is shutting_down: 503, not run, with Retry-After, as for a request that it refuses on arrival. Other nodes answer as before.

--- a/front/attempt_record.cc
+++ b/front/attempt_record.cc
@@ -39,12 +39,17 @@
              : outcome;
 }
 
-reason FailureReason(const attempt_record& attempt) {
+// A draining node shortens deadlines, so another node may have the time that
+// this one lacked.
+reason FailureReason(const attempt_record& attempt, bool is_draining) {
   if (attempt.result.withdrawn) {
     return reason::kNoCapacity;
   }
   if (attempt.result.summary.ended != attempt_end_cause::kAnswered) {
-    return ReasonOf(attempt.result.summary);
+    const reason why = ReasonOf(attempt.result.summary);
+    return why == reason::kDeadlineExpired && is_draining
+               ? reason::kShuttingDown
+               : why;
   }
   return attempt.classification.run_verdict == verdict::kNotRun
              ? reason::kUpstreamShed
--- a/front/attempt_record.h
+++ b/front/attempt_record.h
@@ -28,8 +28,9 @@
 /// Returns what the attempt says of the instance's health.
 attempt_outcome HealthOutcome(const attempt_record& attempt);
 
-/// Returns why a request whose last attempt failed like this has failed.
-reason FailureReason(const attempt_record& attempt);
+/// Returns why a request whose last attempt failed like this has failed at a
+/// node that is draining or not.
+reason FailureReason(const attempt_record& attempt, bool is_draining);
 
 /// Returns when the caller may return after a refusal for `why`, on average.
 millis RetryAfterFailure(const attempt_record& attempt, reason why);
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -316,7 +316,7 @@
 }
 
 http_response request_handler::Fail(const attempt_record& attempt) {
-  const reason why = FailureReason(attempt);
+  const reason why = FailureReason(attempt, node_.draining);
   if (possible_runs_ == 0) {
     return Refuse(why, RetryAfterFailure(attempt, why));
   }
--- a/tests/front/shutdown_test.cc
+++ b/tests/front/shutdown_test.cc
@@ -14,6 +14,7 @@
 #include "core/error.h"
 #include "core/invariant.h"
 #include "front_world.h"
+#include "platform/to_chrono.h"
 #include "scripted_instance.h"
 
 namespace peridotarch {
@@ -143,6 +144,32 @@
   CHECK(works_until.count() <= allowed_until.count() + kClockTolerance.count());
 }
 
+// A request that had not been sent when its time at a draining node was used up
+// was answered with 504, which does not say that it has not run.
+TEST_CASE(
+    "rolling restarts: a request without time left that was not sent is "
+    "refused") {
+  front_world world;
+  world.AddRoute("/pay/", false);
+  const raw_server& instance =
+      world.AddInstance([](const http_request& request) {
+        return InstanceAnswer(RequestId(request), 200, "body",
+                              "X-Response-Seal: 1\r\n");
+      });
+  world.node->draining = true;
+  world.node->stops_at = boot_clock::Now() + millis(800);
+  world.node->on_load_change = [&world](load_change change, instance_key) {
+    if (change == load_change::kSlotTaken) {
+      std::this_thread::sleep_for(
+          ToChrono(world.node->stops_at - boot_clock::Now()));
+    }
+  };
+  const http_response answer = world.SendRequest(verb::put, "/pay/1");
+  CHECK(instance.served == 0);
+  CHECK(answer.result_int() == 503);
+  CHECK(std::stod(std::string(answer["Retry-After"])) > 0);
+}
+
 // The answer of an instance that had used up its time came later than the
 // node's own, since the request had reached it late.
 TEST_CASE(
