Soak: a stopped process that ends with an error breaks a promise

A process that ended with another code than 0 after SIGTERM made a run end with "could not judge", although nothing about it was in doubt. It now counts as a process that ended by itself.

--- a/scripts/lib/soak_faults.py
+++ b/scripts/lib/soak_faults.py
@@ -46,6 +46,7 @@
         self.fleet, self.schedule = fleet, schedule
         self.impairments = Impairments()
         self.applied, self.failures = [], []
+        self.crashes = []  # processes that did not end well when stopped
         self.stops = []  # (node, kind, time) of planned work
         self.leavings = []  # of the store: name, boot, acked, stable
         self.ended = []  # (instance, boot, time)
@@ -83,8 +84,8 @@
             self.fleet.record(f"edge-{node.number} outlives its grace period")
             node.kill()
         elif node.process.returncode != 0 and not self.fleet.broken:
-            self.failures.append(f"edge-{node.number} ended with "
-                                 f"{node.process.returncode} after SIGTERM")
+            self.crashes.append(f"edge-{node.number} ended with "
+                                f"{node.process.returncode} after SIGTERM")
         await asyncio.sleep(DOWN_S)
         node.start(first_start=False)
         self.impairments.end(span)
