Upgrade test: versions and offsets above 2^32 in a mixed fleet

scripts/upgrade_test ran with small numbers alone. Two parts are added, with the builds in both orders: the store's offsets and the versions are above 2^32, a version and a leaving instance come while the fleet is mixed, and again once all nodes run the new build. All nodes have to follow the second change. What each has in force after the first one is printed, since older builds report the lower 32 bits only.

No functional change.

--- a/scripts/lib/platform_fleet.py
+++ b/scripts/lib/platform_fleet.py
@@ -19,9 +19,11 @@
 
 
 class Store:
-    """Keyed topics that keep every record; an empty value removes its key."""
+    """Keyed topics that keep every record; an empty value removes its key.
+    The first record of a topic has the offset `base`."""
 
-    def __init__(self):
+    def __init__(self, base):
+        self.base = base
         self.changed = threading.Condition()
         self.topics = defaultdict(list)
 
@@ -34,14 +36,16 @@
         with self.changed:
             values = dict(self.topics[topic])
             return ({key: value for key, value in values.items() if value},
-                    len(self.topics[topic]))
+                    self.base + len(self.topics[topic]))
 
     def read(self, topic, first, wait_s):
         """Returns the records from offset `first` on; waits for one."""
+        first -= self.base
         with self.changed:
             self.changed.wait_for(lambda: len(self.topics[topic]) > first,
                                   wait_s)
-            return self.topics[topic][first:], len(self.topics[topic])
+            return (self.topics[topic][first:],
+                    self.base + len(self.topics[topic]))
 
 
 class QuietServer(ThreadingHTTPServer):
@@ -86,7 +90,7 @@
                 return
             records, end = store.read(query["topic"], int(query["from"]),
                                       int(query.get("wait_ms", 0)) / 1000)
-            page = struct.pack(">QQ", end, 0)
+            page = struct.pack(">QQ", end, store.base)
             for key, value in records:
                 record = bytes([len(key)]) + key.encode() + value
                 page += struct.pack(">I", len(record)) + record
@@ -122,6 +126,7 @@
                 return
             with fleet.lock:
                 fleet.runs[request] += 1
+                fleet.last_run[name] = time.monotonic()
             time.sleep(WORK_S)
             headers.append(("X-Response-Seal", "1"))
             if name in fleet.failing:
@@ -134,16 +139,18 @@
 class PlatformFleet:
     """Nodes `edge-N` at 127.0.0.(11+N), all on the same ports."""
 
-    def __init__(self, directory, first_port, instances):
+    def __init__(self, directory, first_port, instances, first_offset=0):
         self.directory = directory
         self.first_port = first_port
-        self.store = Store()
+        self.store = Store(first_offset)
         self.lock = threading.Lock()
         self.runs = Counter()
+        self.last_run = {}  # instance: when its last request arrived
         self.failing = set()
         self.answers = defaultdict(Counter)
         self.processes = {}
         self.sequence = 0
+        self.callers = 0
         self._serve(STORE_PORT, store_handler(self.store))
         self.port_of = {}
         for number in range(instances):
@@ -227,9 +234,12 @@
             time.sleep(0.05)
         return False
 
-    def call(self, number, caller, until):
+    def call(self, number, until):
         """Sends requests to a node one after the other until that time."""
         connection = None
+        with self.lock:
+            self.callers += 1
+            caller = self.callers
         for count in range(10**9):
             if time.monotonic() >= until:
                 break
@@ -261,6 +271,17 @@
         text = (self.directory / f"edge-{number}.log").read_text()
         return [json.loads(line) for line in text.splitlines()]
 
+    def version_in_force(self, number):
+        """Returns the version that a node has in force by its log, or None. Each
+        attempt names it, since under load single lines are left out."""
+        version = None
+        for line in self.events(number):
+            if line["event"] == "config_in_force":
+                version = line["version"]
+            elif line["event"] == "attempt":
+                version = line["config"]
+        return version
+
     def repeated_unsafe(self):
         """Returns the unsafe requests that ran more than once."""
         return [request for request, runs in self.runs.items()
