A stopping node refuses requests that would lose a part of their time

Callers saw: requests sent 3.1 to 3.5 s after the SIGTERM of a node, with a route timeout of 3 s, an objective of 1.5 s and a grace of 6 s, were passed on and ended as 504 at 5.0 s, those that may not run twice too.

Cause: the admission at a stopping node asked for the latency objective alone, and counted the time from the arrival of the request, not from when it is served behind others on its connection.

Ruled out: requests cut without any answer (none seen), refusals of requests that have run (none).

Change: once the balancer has noticed the stop, a request is taken only if its whole time ends before the node's last work; before that the objective is still enough, since a refused caller may come back to this node. The time counts from now. The other tests of a stopping node set its times by one function, with the balancer not having noticed; their checks are the same.

--- a/balance/request_deadlines.cc
+++ b/balance/request_deadlines.cc
@@ -17,6 +17,7 @@
 // arrives too late on its way extends the instance's work by that time.
 constexpr millis kShutdownWorkMargin(600);
 constexpr millis kShutdownAnswerMargin(50);
+constexpr millis kMinWorkTime(10);  // no instance answers in less
 
 }  // namespace
 
@@ -41,4 +42,23 @@
   return deadlines;
 }
 
+// Until the balancer has noticed the shutdown, a caller that is refused may
+// come back to this node, so time for the objective is enough. After that, a
+// request that loses a part of its time is better served elsewhere: an instance
+// that stops for want of time leaves the caller with an unknown outcome.
+std::optional<request_deadlines> AdmitAtShutdown(const shutdown_times& times,
+                                                 request_deadlines deadlines,
+                                                 millis objective, millis now) {
+  const request_deadlines capped = CapDeadlines(times.stops_at, deadlines);
+  const millis whole_time = deadlines.work_until - now;
+  const millis needed_time =
+      now >= times.balancer_noticed_at
+          ? whole_time
+          : std::min(whole_time, std::max(objective, kMinWorkTime));
+  if (capped.work_until - now < needed_time) {
+    return std::nullopt;
+  }
+  return capped;
+}
+
 }  // namespace peridotarch
--- a/balance/request_deadlines.h
+++ b/balance/request_deadlines.h
@@ -18,10 +18,24 @@
 request_deadlines DeadlinesFor(millis read_at, millis route_timeout,
                                std::optional<millis> caller_timeout);
 
+/// When a node that is shutting down gets no more new callers, and when its
+/// process ends, as times of the boot clock.
+struct shutdown_times {
+  millis balancer_noticed_at;
+  millis stops_at;
+};
+
 /// Returns `deadlines` capped for a node that is shutting down, so that every
 /// request it has forwarded ends before the process does, at `stops_at`.
 request_deadlines CapDeadlines(millis stops_at, request_deadlines deadlines);
 
+/// Returns the capped deadlines of a request that a node takes at `now` while
+/// it shuts down, or nothing if it refuses the request, so that the caller goes
+/// to another node. `objective` is the latency objective of the request.
+std::optional<request_deadlines> AdmitAtShutdown(const shutdown_times& times,
+                                                 request_deadlines deadlines,
+                                                 millis objective, millis now);
+
 }  // namespace peridotarch
 
 #endif  // BALANCE_REQUEST_DEADLINES_H_
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -99,15 +99,13 @@
   request_deadlines deadlines =
       DeadlinesFor(started_at_, route_->timeout, terms_.time_left);
   if (node_.draining) {
-    const millis needed_time =
-        std::min(deadlines.work_until - started_at_,
-                 std::max(route_->latency_objective, kMinAttemptTime));
-    deadlines = CapDeadlines(node_.stops_at, deadlines);
-    // Too little time is left for an answer within the latency objective, so
-    // another node serves the request better.
-    if (deadlines.work_until - started_at_ < needed_time) {
+    const auto admitted =
+        AdmitAtShutdown(node_.shutdown, deadlines, route_->latency_objective,
+                        boot_clock::Now());
+    if (!admitted) {
       return reason::kShuttingDown;
     }
+    deadlines = *admitted;
   }
   work_deadline_ = deadlines.work_until;
   answer_deadline_ = deadlines.answer_by;
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -122,15 +122,16 @@
                          std::shared_ptr<peer_reporter> peers) {
   const asio::any_io_executor executor = node->context.get_executor();
   const millis started_at = boot_clock::Now();
+  const millis balancer_noticed_at = started_at + kBalancerNoticeTime;
   const millis exit_at =
       started_at + node->settings.shutdown_grace - kExitMargin;
   node->draining = true;
-  node->stops_at = exit_at;
+  node->shutdown = {balancer_noticed_at, exit_at};
   node->log.Write("stopping", {{"in_flight", node->in_flight},
                                {"connections", node->sessions.size()}});
   peers->AnnounceLeaving();
   const auto idle_close_at =
-      std::max(started_at + kBalancerNoticeTime,
+      std::max(balancer_noticed_at,
                started_at + node->settings.shutdown_grace - kIdleCloseMargin);
   while (boot_clock::Now() < exit_at) {
     const millis now = boot_clock::Now();
@@ -141,8 +142,8 @@
         session->CloseIfIdle();
       }
     }
-    const bool balancer_noticed = now >= started_at + kBalancerNoticeTime;
-    if (balancer_noticed && node->in_flight == 0 && node->sessions.empty()) {
+    if (now >= balancer_noticed_at && node->in_flight == 0 &&
+        node->sessions.empty()) {
       break;
     }
     co_await Sleep(executor, kDrainPollInterval);
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -11,6 +11,7 @@
 #include "balance/fleet_retry_budget.h"
 #include "balance/instance_selector.h"
 #include "balance/node_settings.h"
+#include "balance/request_deadlines.h"
 #include "balance/route_index.h"
 #include "core/invariant.h"
 #include "core/metrics.h"
@@ -70,7 +71,7 @@
   int in_flight = 0;           ///< Requests of callers.
   bool instances_known = false;
   bool draining = false;
-  millis stops_at;  ///< Set while draining: when the process ends.
+  shutdown_times shutdown;  ///< Set while draining.
 
   /// Returns the version of the configuration in force, 0 if there is none.
   [[nodiscard]] config_version ConfigVersion() const;
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -192,6 +192,14 @@
                           boost::asio::detached);
   }
 
+  /// The node gets SIGTERM: its process ends after `time_left`, and the
+  /// balancer notices after `unnoticed`.
+  void StartShutdown(millis time_left, millis unnoticed = millis(5'000)) const {
+    const millis now = boot_clock::Now();
+    node->draining = true;
+    node->shutdown = {now + unnoticed, now + time_left};
+  }
+
   /// Runs the event loop until `done` returns true, for at most two seconds.
   void RunUntil(const std::function<bool()>& done,
                 millis limit = millis(2'000)) {
--- a/tests/front/pipelining_test.cc
+++ b/tests/front/pipelining_test.cc
@@ -257,8 +257,7 @@
               RequestBytes("GET", "/box/2", "r2"));
   world.RunUntil([&instance] { return instance.waiting.size() == 2; });
   REQUIRE(instance.waiting.size() == 2);
-  world.node->draining = true;
-  world.node->stops_at = boot_clock::Now() + millis(5'000);
+  world.StartShutdown(millis(5'000));
   instance.Release("r1");
   instance.Release("r2");
   CHECK(caller.Read(3) == std::vector<std::string>{"r1", "r2"});
@@ -281,8 +280,7 @@
   caller.Send(RequestBytes("GET", "/box/1", "r1", "", kDeadline));
   world.RunUntil([&instance] { return instance.waiting.contains("r1"); });
   REQUIRE(instance.waiting.contains("r1"));
-  world.node->draining = true;
-  world.node->stops_at = boot_clock::Now() + kDeadline;
+  world.StartShutdown(kDeadline);
   // The caller does not read yet, so the answer stays half written.
   const std::string body(8 << 20, 'x');
   instance.Release("r1", body);
--- a/tests/front/shutdown_test.cc
+++ b/tests/front/shutdown_test.cc
@@ -40,8 +40,7 @@
   for (int i = 0; i < steps; ++i) {
     world.context.poll_one();
   }
-  world.node->draining = true;
-  world.node->stops_at = boot_clock::Now() + millis(5'000);
+  world.StartShutdown(millis(5'000));
   world.RunUntil([&world] {
     const std::vector<caller_session*> sessions(world.node->sessions.begin(),
                                                 world.node->sessions.end());
@@ -96,15 +95,14 @@
         return InstanceAnswer(RequestId(request), 200, "body",
                               "X-Response-Seal: 1\r\n");
       });
-  world.node->draining = true;
   SECTION("with enough time it is sent with a shorter deadline") {
-    world.node->stops_at = boot_clock::Now() + millis(850);
+    world.StartShutdown(millis(850));
     CHECK(world.SendRequest(verb::put, "/pay/1").result_int() == 200);
     REQUIRE_FALSE(received_deadline_ms.empty());
     CHECK(std::stoi(received_deadline_ms) <= 550);
   }
   SECTION("without enough time it is refused and not sent") {
-    world.node->stops_at = boot_clock::Now() + millis(300);
+    world.StartShutdown(millis(300));
     const http_response answer = world.SendRequest(verb::put, "/pay/1");
     CHECK(answer.result_int() == 503);
     CHECK(std::stod(std::string(answer["Retry-After"])) > 0);
@@ -112,6 +110,37 @@
   }
 }
 
+// Requests that came late in the grace were sent with the time that was left,
+// and their instances stopped work on them.
+TEST_CASE(
+    "rolling restarts: a request that would lose time goes to another node "
+    "once the balancer has noticed") {
+  front_world world;
+  world.AddRoute("/pay/", false);
+  const raw_server& instance =
+      world.AddInstance([](const http_request& request) {
+        return InstanceAnswer(RequestId(request), 200, "body",
+                              "X-Response-Seal: 1\r\n");
+      });
+  constexpr millis kEnoughForObjective(1'000);
+  constexpr millis kEnoughForAll(2'500);
+  SECTION("it is refused and not sent") {
+    world.StartShutdown(kEnoughForObjective, millis(0));
+    const http_response answer = world.SendRequest(verb::put, "/pay/1");
+    CHECK(answer.result_int() == 503);
+    CHECK(std::stod(std::string(answer["Retry-After"])) > 0);
+    CHECK(instance.served == 0);
+  }
+  SECTION("a request that gets its whole time is served") {
+    world.StartShutdown(kEnoughForAll, millis(0));
+    CHECK(world.SendRequest(verb::put, "/pay/1").result_int() == 200);
+  }
+  SECTION("before, time for the objective is enough") {
+    world.StartShutdown(kEnoughForObjective);
+    CHECK(world.SendRequest(verb::put, "/pay/1").result_int() == 200);
+  }
+}
+
 // A request that a node took 3.6 s after SIGTERM was answered with the node's
 // own 504 while its instance was at work: the time left had been computed
 // before the connection was made.
@@ -127,11 +156,10 @@
     return InstanceAnswer(RequestId(request), 200, "body",
                           "X-Response-Seal: 1\r\n");
   });
-  world.node->draining = true;
-  world.node->stops_at = boot_clock::Now() + millis(1'000);
+  world.StartShutdown(millis(1'000));
   constexpr millis kClockTolerance(20);
   const millis allowed_until =
-      CapDeadlines(world.node->stops_at,
+      CapDeadlines(world.node->shutdown.stops_at,
                    DeadlinesFor(boot_clock::Now(), millis(1'000), millis(900)))
           .work_until;
   // The loop has a slow turn between the choice and the connection.
@@ -156,12 +184,11 @@
         return InstanceAnswer(RequestId(request), 200, "body",
                               "X-Response-Seal: 1\r\n");
       });
-  world.node->draining = true;
-  world.node->stops_at = boot_clock::Now() + millis(800);
+  world.StartShutdown(millis(800));
   world.node->on_load_change = [&world](load_change change, instance_key) {
     if (change == load_change::kSlotTaken) {
       std::this_thread::sleep_for(
-          ToChrono(world.node->stops_at - boot_clock::Now()));
+          ToChrono(world.node->shutdown.stops_at - boot_clock::Now()));
     }
   };
   const http_response answer = world.SendRequest(verb::put, "/pay/1");
@@ -184,8 +211,7 @@
                                             "X-Response-Seal: 1\r\n"),
                              kDelayOnTheWay + time_left}}};
   });
-  world.node->draining = true;
-  world.node->stops_at = boot_clock::Now() + millis(900);
+  world.StartShutdown(millis(900));
   const http_response answer = world.SendRequest(verb::put, "/pay/1");
   CHECK(answer.result_int() == 504);
   CHECK(answer["X-Response-Seal"] == "1");
