The bodies of all answers share one bound of memory, sound ones are kept

Callers saw: with 32 instances that sent bytes without end or 15 MB bodies, a node reached 247 MB (260 is a machine of the first deployments, where it would be killed), and 3 of 1,399 requests that a sound instance had run ended as 502.

Cause: the sum of bodies was bounded by the bytes being read, not by the memory that they hold; whole answers that wait for slow callers did not count; freed long blocks stayed with the process; and beyond the bound the answer read next was dropped, whoever sent it.

Ruled out: heads without end, which were bounded (64 kB) and still are.

Change: front/answer_memory counts a body by its memory from the first byte until it is written to its caller, at most an eighth of the machine's memory and 32 MB (setting answer-memory-mb); beyond it the largest body being read is dropped, those up to 64 kB never. Long blocks are returned when freed. The test of many endless answers asked for less than 50 MB of bytes; it now asks for the bound on the memory and that all of it is given back.

--- a/balance/node_settings.h
+++ b/balance/node_settings.h
@@ -27,6 +27,7 @@
   bool is_first_start = false;  ///< The whole fleet starts for the first time.
   millis shutdown_grace;        ///< Time from SIGTERM until the kill.
   retry_limits retries;         ///< Of the whole fleet.
+  uint64_t answer_bytes = 32 << 20;  ///< Memory for bodies of answers.
 };
 
 }  // namespace peridotarch
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -295,6 +295,7 @@
 
 http_response request_handler::Deliver(attempt_record& attempt) {
   http_response answer = ToCallerAnswer(std::move(attempt.result.answer));
+  state_.answer_body = std::move(attempt.result.reservation);
   const bool head = request_.method() == boost::beast::http::verb::head;
   node_.Verify(IsWhole(answer, head), invariant::kWholeAnswer, terms_.id);
   LogAnswer(reason::kAnswered, static_cast<int>(answer.result_int()),
--- a/front/caller_request.h
+++ b/front/caller_request.h
@@ -18,6 +18,8 @@
   bool caller_left = false;
   bool idempotent = false;
   std::shared_ptr<exchange_control> exchange;  ///< The attempt in progress.
+  /// Memory of the answer's body until it is written.
+  std::shared_ptr<answer_reservation> answer_body;
 
   /// Called when the caller has disconnected. Nothing more is sent for the
   /// request. The attempt in progress is cancelled if the request is
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -34,13 +34,12 @@
 constexpr size_t kMaxIdlePerInstance = 4;
 constexpr uint32_t kMaxAnswerHeader = 64 << 10;
 constexpr uint64_t kMaxAnswerBody = 16 << 20;
-// Of all bodies that are being read, since a gray instance may send bytes
-// without end. The smallest machines have 160 MB.
-constexpr uint64_t kMaxBytesInRead = 48 << 20;
 constexpr int kInformationalClass = 1;  // 1xx
 constexpr int kMaxInformationalAnswers = 8;
 constexpr int kMaxStrayAnswers = 3;
 
+using answer_parser = http::response_parser<http::string_body>;
+
 std::string ConnectionKey(const instance_entry& instance) {
   return instance.address + ':' + std::to_string(instance.port) + '/' +
          instance.id;
@@ -76,17 +75,15 @@
 
 // Returns whether the answer's body is in another coding than "chunked". Its
 // end is then unknown, and the parser would take the coded bytes for the body.
-template <typename Parser>
-bool HasUnknownCoding(const Parser& parser) {
+bool HasUnknownCoding(const answer_parser& parser) {
   return parser.get().count(http::field::transfer_encoding) != 0 &&
          !parser.chunked();
 }
 
 // Reads the head of the next answer on the connection, past informational (1xx)
 // ones. Each head may carry a notice of the instance.
-template <typename Parser>
 awaitable<error_code> ReadAnswerHead(
-    instance_connection& connection, std::optional<Parser>& parser,
+    instance_connection& connection, std::optional<answer_parser>& parser,
     std::function<void(const answer_notice&)> on_notice) {
   error_code failure;
   for (int read = 0; read <= kMaxInformationalAnswers; ++read) {
@@ -111,6 +108,28 @@
   co_return http::make_error_code(http::error::unexpected_body);  // malformed
 }
 
+// The deadline is checked after each read: while bytes arrive without a pause,
+// the event loop completes the next read before the stream's timer.
+awaitable<error_code> ReadBody(instance_connection& connection,
+                               answer_parser& parser,
+                               answer_reservation& reservation,
+                               std::chrono::steady_clock::time_point deadline) {
+  error_code failure;
+  while (!failure && !parser.is_done()) {
+    co_await http::async_read_some(
+        connection.stream, connection.buffer, parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (!reservation.Resize(parser.get().body().capacity())) {
+      failure = http::make_error_code(http::error::body_limit);
+    }
+    const bool is_late = std::chrono::steady_clock::now() >= deadline;
+    if (!failure && !parser.is_done() && is_late) {
+      failure = beast::error::timeout;
+    }
+  }
+  co_return failure;
+}
+
 }  // namespace
 
 void exchange_control::Cancel() {
@@ -124,8 +143,10 @@
   return connection && connection->send_started;
 }
 
-connection_pool::connection_pool(asio::io_context& context)
-    : context_(context) {}
+connection_pool::connection_pool(asio::io_context& context,
+                                 uint64_t answer_bytes)
+    : context_(context),
+      memory_(std::make_shared<answer_memory>(answer_bytes)) {}
 
 connection_pool::~connection_pool() = default;
 
@@ -169,31 +190,14 @@
   idle_.erase(ConnectionKey(instance));
 }
 
-// The deadline is checked after each read: while bytes arrive without a pause,
-// the event loop completes the next read before the stream's timer.
-awaitable<error_code> connection_pool::ReadBody(
-    instance_connection& connection, answer_parser& parser,
-    std::chrono::steady_clock::time_point deadline) {
-  error_code failure;
-  uint64_t bytes = 0;
-  while (!failure && !parser.is_done()) {
-    co_await http::async_read_some(
-        connection.stream, connection.buffer, parser,
-        asio::redirect_error(asio::use_awaitable, failure));
-    const uint64_t now_read = parser.get().body().size();
-    bytes_in_read_ += now_read - bytes;
-    bytes = now_read;
-    peak_bytes_in_read_ = std::max(peak_bytes_in_read_, bytes_in_read_);
-    if (bytes_in_read_ > kMaxBytesInRead) {
-      failure = http::make_error_code(http::error::body_limit);
-    }
-    const bool is_late = std::chrono::steady_clock::now() >= deadline;
-    if (!failure && !parser.is_done() && is_late) {
-      failure = beast::error::timeout;
-    }
-  }
-  bytes_in_read_ -= bytes;
-  co_return failure;
+// The connection is closed when the body is dropped, which ends its read.
+std::shared_ptr<answer_reservation> connection_pool::ReserveFor(
+    const instance_entry& instance, const connection_ptr& connection) {
+  return std::make_shared<answer_reservation>(memory_,
+                                              [this, instance, connection] {
+                                                on_body_dropped(instance);
+                                                connection->stream.close();
+                                              });
 }
 
 awaitable<exchange_result> connection_pool::Exchange(
@@ -236,6 +240,7 @@
   result.summary.written = write_progress::kAll;
   std::optional<answer_parser> parser;
   error_code failure;
+  auto reservation = ReserveFor(params.instance, connection);
   for (int stray_answers = 0;; ++stray_answers) {
     failure = co_await ReadAnswerHead(
         *connection, parser, [this, &params](const answer_notice& notice) {
@@ -243,7 +248,7 @@
         });
     if (!failure) {
       result.summary.read = read_progress::kPart;
-      failure = co_await ReadBody(*connection, *parser, deadline);
+      failure = co_await ReadBody(*connection, *parser, *reservation, deadline);
     }
     if (failure || stray_answers == kMaxStrayAnswers ||
         AnswersRequest(parser->get(), params.id)) {
@@ -265,6 +270,8 @@
   result.summary.ended = attempt_end_cause::kAnswered;
   const bool is_framed = !parser->need_eof();
   result.answer = parser->release();
+  reservation->Complete();
+  result.reservation = std::move(reservation);
   if (result.answer.keep_alive() && is_framed && connection->fully_sent &&
       connection->buffer.size() == 0 && !ReadNotice(result.answer).leaving) {
     connection->idle_timeout = IdleTimeout(result.answer) - kIdleCloseMargin;
--- a/front/connection_pool.h
+++ b/front/connection_pool.h
@@ -2,9 +2,6 @@
 #define FRONT_CONNECTION_POOL_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -16,6 +13,7 @@
 #include "balance/instance.h"
 #include "core/host_port.h"
 #include "core/millis.h"
+#include "front/answer_memory.h"
 #include "platform/awaitable.h"
 #include "platform/http_client.h"
 #include "request/attempt.h"
@@ -53,12 +51,15 @@
   int idle_connections = 0;  ///< To the instance, after the exchange.
   /// Nothing was sent, as the instance takes no requests any more.
   bool withdrawn = false;
+  /// Keeps the part of the answer's body in the node's memory.
+  std::shared_ptr<answer_reservation> reservation;
 };
 
 /// Keep-alive connections to instances. Each carries one request at a time.
 class connection_pool {
  public:
-  explicit connection_pool(boost::asio::io_context& context);
+  /// `answer_bytes` is the most memory that bodies of answers may take.
+  connection_pool(boost::asio::io_context& context, uint64_t answer_bytes);
   ~connection_pool();
 
   /// Sends a request and reads its whole answer. Drops late answers to other
@@ -66,10 +67,8 @@
   awaitable<exchange_result> Exchange(exchange_params params,
                                       exchange_control& control);
 
-  /// Returns the most bytes of answers that were in memory while being read.
-  [[nodiscard]] uint64_t peak_bytes_in_read() const {
-    return peak_bytes_in_read_;
-  }
+  /// Memory of the bodies of answers.
+  [[nodiscard]] const answer_memory& memory() const { return *memory_; }
 
   /// Closes connections that have been idle for too long.
   void CloseIdle(millis now);
@@ -80,6 +79,9 @@
   /// rest of the answer is read.
   std::function<void(const instance_entry&, const answer_notice&)> on_notice =
       [](const instance_entry&, const answer_notice&) {};
+  /// Called when the body of an answer is dropped for want of memory.
+  std::function<void(const instance_entry&)> on_body_dropped =
+      [](const instance_entry&) {};
   /// Returns whether the instance still takes requests; asked before each
   /// write.
   std::function<bool(const instance_entry&)> may_send =
@@ -88,20 +90,15 @@
  private:
   using connection_ptr = std::shared_ptr<instance_connection>;
 
-  using answer_parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
-
-  awaitable<boost::system::error_code> ReadBody(
-      instance_connection& connection, answer_parser& parser,
-      std::chrono::steady_clock::time_point deadline);
+  std::shared_ptr<answer_reservation> ReserveFor(
+      const instance_entry& instance, const connection_ptr& connection);
   connection_ptr TakeIdle(const instance_entry& instance, millis max_idle_time);
   /// Returns how many idle connections to the instance are kept.
   int KeepIdle(const instance_entry& instance, connection_ptr connection);
 
   boost::asio::io_context& context_;
   std::unordered_map<std::string, std::vector<connection_ptr>> idle_;
-  uint64_t bytes_in_read_ = 0;  ///< Of all answers that are being read.
-  uint64_t peak_bytes_in_read_ = 0;
+  const std::shared_ptr<answer_memory> memory_;
 };
 
 }  // namespace peridotarch
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -1,5 +1,7 @@
 #include "front/front_daemon.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -212,9 +214,17 @@
   }
 }
 
+// A long body is returned to the system when it is freed. By default, freed
+// memory of its size would be kept for later bodies, beside those in use.
+void ReturnFreedMemory() {
+  constexpr int kLongBytes = 128 << 10;
+  ::mallopt(M_MMAP_THRESHOLD, kLongBytes);
+}
+
 }  // namespace
 
 void RunFrontDaemon(const std::string& settings_path) {
+  ReturnFreedMemory();
   const node_settings settings = ReadBootSettings(settings_path);
   asio::io_context context(1);
   const auto seed = static_cast<uint64_t>(wall_clock::Now().count());
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -29,7 +29,7 @@
       started_at(boot_clock::Now()),
       routes(nullptr),
       selector(settings.zone, seed),
-      pool(io),
+      pool(io, settings.answer_bytes),
       random(seed + 1),
       log(settings.node),
       retries(settings.retries) {
@@ -37,6 +37,9 @@
                           const answer_notice& notice) {
     OnNotice(instance, notice);
   };
+  pool.on_body_dropped = [this](const instance_entry& instance) {
+    OnBodyDropped(instance);
+  };
   pool.may_send = [this](const instance_entry& instance) {
     return selector.IsInUse(instance) &&
            selector.MaySend(instance, boot_clock::Now());
@@ -88,6 +91,17 @@
   LogHealthChanges();
 }
 
+void front_node::OnBodyDropped(const instance_entry& instance) {
+  counters
+      .Counter("answer_bodies_dropped_total",
+               "Bodies of answers that were dropped for want of memory.")
+      .Add();
+  log.Write("answer_body_dropped", {{"instance", instance.id},
+                                    {"service", instance.service},
+                                    {"bytes_in_use", pool.memory().in_use()},
+                                    {"bytes_allowed", pool.memory().limit()}});
+}
+
 void front_node::CountAnswer(reason why, millis taken) {
   counters
       .Counter("answers_total", "Answers to callers by reason.",
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -98,6 +98,8 @@
   void CloseIdleCallers(millis now);
   /// Handles what an answer says about its instance.
   void OnNotice(const instance_entry& instance, const answer_notice& notice);
+  /// Logs that memory was short for an answer of the instance.
+  void OnBodyDropped(const instance_entry& instance);
   /// Logs the changes of instances that the selector has collected. Closes the
   /// idle connections to those that are leaving, and tells the peers of them.
   void LogHealthChanges();
--- a/tests/front/endless_answer_test.cc
+++ b/tests/front/endless_answer_test.cc
@@ -14,6 +14,8 @@
 namespace asio = boost::asio;
 
 constexpr uint64_t kMaxBytesTaken = 24 << 20;
+constexpr uint64_t kAnswerBytes = 8 << 20;
+constexpr millis kLongTimeout(5'000);
 
 /// What the instance sends.
 struct endless_answer {
@@ -172,7 +174,7 @@
 }
 
 TEST_CASE("endless answer: many at once stay within the node's memory") {
-  front_world world;
+  front_world world(kAnswerBytes);
   world.AddRoute("/pay/", false);
   endless_instance instance(world,
                             {"body", kHead + "\r\n", kFiller, millis(0)});
@@ -190,7 +192,66 @@
     world.RunUntil([&answered] { return answered == kCallers; });
   }
   CHECK(answered == kCallers);
-  CHECK(world.node->pool.peak_bytes_in_read() < (50 << 20));
+  CHECK(world.node->pool.memory().peak() <= kAnswerBytes);
+  CHECK(world.node->pool.memory().in_use() == 0);
+}
+
+// Once the bodies without end had used up the node's memory, the answers of
+// sound instances were dropped too.
+TEST_CASE("endless answer: those of sound instances are kept meanwhile") {
+  front_world world(kAnswerBytes);
+  world.AddRoute("/pay/", false, millis(100), kLongTimeout);
+  world.AddRoute("/sound/", false, millis(100), millis(1'000), "sound");
+  endless_instance instance(world,
+                            {"body", kHead + "\r\n", kFiller, millis(1)});
+  world.AddInstance(
+      [](const http_request& request) {
+        return InstanceAnswer(RequestId(request), 200, std::string(5'000, 'b'),
+                              "X-Response-Seal: 1\r\n");
+      },
+      "sound");
+  int ended = 0;
+  for (int i = 0; i < 8; ++i) {
+    world.StartRequest(verb::put, "/pay/1", "e" + std::to_string(i),
+                       [&ended](const http_response&) { ++ended; });
+  }
+  for (int i = 0; ended < 8; ++i) {
+    CHECK(world.SendRequest(verb::put, "/sound/1", "r" + std::to_string(i))
+              .result_int() == 200);
+  }
+}
+
+// An answer that its caller read slowly no longer counted once it was whole.
+TEST_CASE("endless answer: answers count until their callers have them") {
+  // More than the buffers of a connection hold.
+  const std::string body(7 << 20, 'x');
+  constexpr uint64_t kTwoBodies = 15 << 20;
+  front_world world(kTwoBodies);
+  world.AddRoute("/box/", false, millis(100), kLongTimeout);
+  const raw_server& instance =
+      world.AddInstance([&body](const http_request& request) {
+        return InstanceAnswer(RequestId(request), 200, body,
+                              "X-Response-Seal: 1\r\n");
+      });
+  boost::asio::io_context caller_context;
+  const auto& memory = world.node->pool.memory();
+  std::vector<asio::ip::tcp::socket> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.emplace_back(caller_context);
+    callers.back().connect(world.caller_endpoint());
+    asio::write(callers.back(),
+                asio::buffer("GET /box/1 HTTP/1.1\r\nHost: box.example\r\n"
+                             "X-Request-Id: r" +
+                             std::to_string(i) + "\r\n\r\n"));
+    world.RunUntil([&world, &instance, i] {
+      return instance.served > i && world.node->selector.in_flight() == 0;
+    });
+  }
+  CHECK(memory.in_use() >= 2 * body.size());
+  CHECK(memory.peak() <= kTwoBodies);
+  callers.clear();
+  world.RunUntil([&world] { return world.node->sessions.empty(); });
+  CHECK(memory.in_use() == 0);
 }
 
 }  // namespace
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -104,8 +104,9 @@
 /// A node with callers and instances, all on loopback.
 class front_world {
  public:
-  front_world() {
+  explicit front_world(uint64_t answer_bytes = node_settings().answer_bytes) {
     node_settings settings;
+    settings.answer_bytes = answer_bytes;
     settings.node = "edge-1";
     settings.zone = "a";
     settings.retries = {0.2, 58, millis(10'000)};
@@ -116,10 +117,10 @@
     boost::asio::co_spawn(context, Accept(), boost::asio::detached);
   }
 
-  /// Adds a route from the paths below `prefix` to service "s".
+  /// Adds a route from the paths below `prefix` to a service.
   void AddRoute(const std::string& prefix, bool idempotent,
-                millis objective = millis(100),
-                millis timeout = millis(1'000)) {
+                millis objective = millis(100), millis timeout = millis(1'000),
+                const std::string& service = "s") {
     host_route route;
     route.name = prefix;
     route.host = "box.example";
@@ -128,18 +129,21 @@
     route.timeout = timeout;
     route.latency_objective = objective;
     route.max_attempts = 2;
-    route.services = {{"s", 1}};
+    route.services = {{service, 1}};
     config_.version = config_.version.value() + 1;
     config_.routes.push_back(route);
     node->routes.Store(std::make_shared<const route_index>(config_));
   }
 
-  /// Starts an instance of service "s".
-  raw_server& AddInstance(raw_server::handler answer) {
+  /// Starts an instance of a service.
+  raw_server& AddInstance(raw_server::handler answer,
+                          const std::string& service = "s") {
     servers_.push_back(
         std::make_unique<raw_server>(context, std::move(answer)));
-    AddEntry(MakeEntry("i-" + std::to_string(servers_.size()),
-                       servers_.back()->port()));
+    instance_entry entry = MakeEntry("i-" + std::to_string(servers_.size()),
+                                     servers_.back()->port());
+    entry.service = service;
+    AddEntry(entry);
     return *servers_.back();
   }
 
--- a/tests/platform/boot_settings_test.cc
+++ b/tests/platform/boot_settings_test.cc
@@ -89,6 +89,20 @@
   }
 }
 
+TEST_CASE("the memory for answers is a setting, else a part of the machine's") {
+  constexpr uint64_t kMegabyte = 1 << 20;
+  const uint64_t usual =
+      ReadBootSettings(settings_file(kGood).path()).answer_bytes;
+  CHECK(usual >= 4 * kMegabyte);
+  CHECK(usual <= 32 * kMegabyte);
+  const settings_file file(kGood + "answer-memory-mb=20\n");
+  CHECK(ReadBootSettings(file.path()).answer_bytes == 20 * kMegabyte);
+  for (const std::string bad : {"0", "-1", "1.5", "many", "1048577"}) {
+    CHECK(ErrorOf(kGood + "answer-memory-mb=" + bad + "\n")
+              .find("setting answer-memory-mb") == 0);
+  }
+}
+
 // The store's record of the node had the length of the name cut to a byte.
 TEST_CASE("a node's name has at most 255 bytes") {
   const std::string longest(255, 'x');
