A trial is told to the other users of the instance at its beginning

Cause: the beginning of an attempt is told 150 ms late while the instance has spare slots.

Ruled out: trials by nodes of other zones, which wait a second longer.

Change: an attempt that is a trial is a load change of its own, told to the users of the instance at once. Test: tests/front/peer_test.cc.

--- a/balance/load_change.h
+++ b/balance/load_change.h
@@ -11,6 +11,7 @@
 /// A change at this node that its peers should know of.
 enum class load_change {
   kSlotTaken,       ///< An attempt began and takes a slot.
+  kTrialBegun,      ///< The same, to learn whether a suspect has recovered.
   kSlotFreed,       ///< An attempt ended and shows nothing new.
   kInstanceSheds,   ///< The instance sheds load.
   kHealthEvidence,  ///< The instance may have turned gray or recovered.
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -152,7 +152,10 @@
   node_.selector.Begin(key);
   attempted_ = key;
   state_.exchange = control;
-  node_.on_load_change(load_change::kSlotTaken, key);
+  node_.on_load_change(attempt.choice.basis == choice_basis::kTrial
+                           ? load_change::kTrialBegun
+                           : load_change::kSlotTaken,
+                       key);
   guarded_timer slow_timer(node_.context.get_executor());
   slow_timer.Start(attempt.choice.slow_after,
                    [this, key, control] { OnSlowAttempt(key, *control); });
--- a/front/peer_reporter_send.cc
+++ b/front/peer_reporter_send.cc
@@ -31,10 +31,10 @@
 }  // namespace
 
 // The nodes that use the same instance are told of every attempt, at once if it
-// takes one of the last slots; the others learn of it from a heartbeat. What
-// shows the health of an instance and changes of the store's records are told
-// to all: directly in the own zone, and by relays in the others, since traffic
-// between zones costs money.
+// takes one of the last slots or is a trial, which they would repeat; the
+// others learn of it from a heartbeat. What shows the health of an instance and
+// changes of the store's records are told to all: directly in the own zone, and
+// by relays in the others, since traffic between zones costs money.
 void peer_reporter::OnLoadChange(load_change change, instance_key key) {
   switch (change) {
     case load_change::kRecordsChanged:
@@ -53,6 +53,7 @@
       SendToSome();
       return;
     case load_change::kSlotTaken:
+    case load_change::kTrialBegun:
     case load_change::kSlotFreed:
       TellUsers(change, key);
       break;
@@ -66,7 +67,8 @@
 
 void peer_reporter::TellUsers(load_change change, instance_key key) {
   const bool has_spare_slots = node_->selector.HasSpareSlots(key);
-  if (change == load_change::kSlotTaken && !has_spare_slots) {
+  if (change == load_change::kTrialBegun ||
+      (change == load_change::kSlotTaken && !has_spare_slots)) {
     SendToUsersOf({key});
     return;
   }
--- a/tests/front/peer_test.cc
+++ b/tests/front/peer_test.cc
@@ -296,6 +296,31 @@
 
 // Numbers were cut to 32 bits in reports, so that no peer was ever ahead, and
 // nodes that do not read the store kept the records that they had.
+// A trial was told 150 ms after its beginning if the instance had spare slots,
+// and three of ten trials were begun meanwhile by other nodes.
+TEST_CASE("many nodes: a trial is told to the other users at once") {
+  reporting_node reporting;
+  const auto node = reporting.node;
+  instance_entry entry;
+  entry.id = "i-1";
+  entry.service = "s";
+  entry.zone = "a";
+  entry.slots = 3;
+  const std::vector<instance_entry> entries = {entry};
+  node->selector.SetInstances(entries, boot_clock::Now());
+  reporting.reporter->Start([](const peer_ahead&) {});
+  fake_peer peer(reporting.world.context, "127.0.0.12", "a");
+  reporting.reporter->AddPeer(peer.bound_address());
+  peer.SendReport(reporting.address, 0, 0);
+  reporting.world.RunUntil([&peer] { return peer.CountReceived() >= 2; });
+  const size_t greetings = peer.CountReceived();
+  node->selector.Begin(KeyOf(entry.id));
+  node->on_load_change(load_change::kTrialBegun, KeyOf(entry.id));
+  REQUIRE(peer.CountReceived() == greetings + 1);
+  CHECK(peer.LatestReport().load ==
+        std::vector<load_entry>{{KeyOf(entry.id), 1}});
+}
+
 TEST_CASE("numbers above 2^32: a node finds that a peer is ahead, and tells") {
   constexpr uint64_t kVersion = 1'764'927'000'003;
   constexpr uint64_t kOffset = (uint64_t{1} << 32) + 10;
