The suspect that is due for the longest has the next trial

Cause: a request tried the first suspect in the order of the list that was due. While more trials were due than retryable requests came, the last in the list had none: on instances waited up to 4.2 s after a failed trial, where 1.8 s is the hold (44 of 358 waits and 30 of 374 were over 2 s).

Ruled out: loads of peers that look older than they are (no attempt was in flight at these instances), nodes that are cut off from them (never refused).

Change: the request tries the suspect that has been due for the longest. Test: tests/balance/trial_requests_test.cc, which fails with the old order. A comment there stood above the wrong test.

--- a/balance/instance_selector.h
+++ b/balance/instance_selector.h
@@ -210,7 +210,8 @@
   };
   /// The instances of a service that may be chosen for a request.
   struct candidates {
-    /// A suspect that is due for a trial; chosen before all others.
+    /// The suspect that is due for a trial for the longest; chosen before all
+    /// others.
     tracked_instance* trial = nullptr;
     /// Expected to answer in time.
     std::vector<tracked_instance*> in_time;
@@ -250,6 +251,9 @@
   [[nodiscard]] bool IsSelectable(const tracked_instance& instance,
                                   const choice_request& request,
                                   millis now) const;
+  /// Returns the suspect that is due for a trial for longer; `one` may be null.
+  static tracked_instance* LongerDue(tracked_instance* one,
+                                     tracked_instance* other, millis now);
   [[nodiscard]] instance_choice MakeChoice(const tracked_instance& instance,
                                            choice_basis basis,
                                            const latency_limits& limits,
--- a/balance/instance_selector_choice.cc
+++ b/balance/instance_selector_choice.cc
@@ -185,6 +185,15 @@
   return limits;
 }
 
+// While more trials are due than requests come, each suspect has its turn.
+instance_selector::tracked_instance* instance_selector::LongerDue(
+    tracked_instance* one, tracked_instance* other, millis now) {
+  return one != nullptr && one->health.TrialOverdue(now) >=
+                               other->health.TrialOverdue(now)
+             ? one
+             : other;
+}
+
 instance_selector::candidates instance_selector::FindCandidates(
     const std::vector<tracked_instance*>& members,
     const choice_request& request, const latency_limits& limits,
@@ -196,10 +205,8 @@
     }
     if (instance->health.suspect()) {
       if (IsDueForTrial(*instance, request, stats, now)) {
-        options.trial = instance;
-        return options;
-      }
-      if (instance->HasRoom()) {
+        options.trial = LongerDue(options.trial, instance, now);
+      } else if (instance->HasRoom()) {
         const bool sheds = instance->health.cause() == attempt_outcome::kShed;
         const bool is_gray = instance->health.has_failed_trial();
         (sheds     ? options.shedding
--- a/tests/balance/trial_requests_test.cc
+++ b/tests/balance/trial_requests_test.cc
@@ -16,9 +16,6 @@
   }
 }
 
-// On the large deployment a third of the requests lost to gray instances were
-// trials of requests that could not be retried, although a fifth of the
-// service's requests could.
 // Large fleet: the nodes of other zones hear of a trial when it has ended. When
 // they waited for less than a trial takes, a quarter of all attempts were
 // trials, most of them in another zone and at an instance under trial.
@@ -53,6 +50,9 @@
   CHECK(trials == 0);
 }
 
+// On the large deployment a third of the requests lost to gray instances were
+// trials of requests that could not be retried, although a fifth of the
+// service's requests could.
 TEST_CASE("mixed load: trials are left to requests that can be retried") {
   instance_selector selector("a", 1);
   selector.SetInstances(MakeEntries(6, "ledger"), kStart);
@@ -77,6 +77,27 @@
   }
 }
 
+// Half of the instances were gray, and more trials were due than retryable
+// requests came. Those that came last in the list got none for four seconds,
+// after they had recovered too.
+TEST_CASE("many gray instances: the suspect due for the longest has a trial") {
+  constexpr int kInstances = 12;
+  for (int oldest = 0; oldest < kInstances; ++oldest) {
+    instance_selector selector("a", 1);
+    selector.SetInstances(MakeEntries(kInstances, "ledger"), kStart);
+    for (int i = 0; i < kInstances; ++i) {
+      const instance_key key = KeyOf("ledger-" + std::to_string(i));
+      const millis failed_at = kStart + millis(i == oldest ? 0 : 10);
+      selector.Begin(key);
+      selector.End(key, attempt_outcome::kFailed, millis(5), failed_at);
+    }
+    const instance_choice choice =
+        selector.Choose(MakeRequest("ledger", true), kStart + millis(1'500));
+    CHECK(choice.basis == choice_basis::kTrial);
+    CHECK(choice.key == KeyOf("ledger-" + std::to_string(oldest)));
+  }
+}
+
 // An instance without requests may have turned gray since its last answer.
 TEST_CASE("mixed load: unused instances are left to retryable requests") {
   constexpr int kInstances = 6;
