A trial that can't connect lets another node try soon

Cause: a trial by a node that is cut off from the instance counted like a trial that the instance has failed, and held it for 1.8 s at all nodes, two or three times in a row.

Change: the hold after such a trial is 250 ms, doubled by each further one in a row up to 1.8 s, so that trials of an instance that is down stay rare; one that arrives late does not prolong a hold.

--- a/balance/instance_health.cc
+++ b/balance/instance_health.cc
@@ -11,6 +11,11 @@
 constexpr millis kFailureHold(1'000);
 // An instance stays gray for several seconds, so a failed trial holds longer.
 constexpr millis kFailedTrialHold(1'800);
+// The node of a trial that could not connect may be cut off from the instance
+// while others reach it, so one of them tries soon. If none can, the instance
+// is down, and trials become as rare as after other failures.
+constexpr millis kUnreachableTrialHold(250);
+constexpr int kMaxHoldDoublings = 3;
 constexpr millis kSlowHold(700);
 constexpr millis kShedHold(250);
 // An instance that fails half of its requests still succeeds twice in a row a
@@ -39,12 +44,16 @@
         return false;
       }
       has_failed_trial_ = false;
+      unreachable_trials_ = 0;
       return --successes_to_clear_ == 0;
     case attempt_outcome::kFailed:
     case attempt_outcome::kBroken:
-    case attempt_outcome::kUnreachable:
+      unreachable_trials_ = 0;
       return MarkSuspect(outcome, FailureHold(ended_at), kSuccessesAfterFailure,
                          ended_at);
+    case attempt_outcome::kUnreachable:
+      return MarkSuspect(outcome, UnreachableHold(ended_at),
+                         kSuccessesAfterFailure, ended_at);
     case attempt_outcome::kSlow:
       return MarkSuspect(outcome, kSlowHold, kSuccessesAfterSlow, ended_at);
     case attempt_outcome::kShed:
@@ -65,6 +74,18 @@
   return is_trial ? kFailedTrialHold : kFailureHold;
 }
 
+millis instance_health::UnreachableHold(millis ended_at) {
+  if (!suspect()) {
+    return kFailureHold;
+  }
+  if (ended_at < hold_until_) {
+    return millis(0);
+  }
+  has_failed_trial_ = true;
+  const int doublings = std::min(unreachable_trials_++, kMaxHoldDoublings);
+  return std::min(kUnreachableTrialHold * (1 << doublings), kFailedTrialHold);
+}
+
 bool instance_health::MarkSuspect(attempt_outcome outcome, millis hold,
                                   int successes_to_clear, millis ended_at) {
   const bool is_new = successes_to_clear_ == 0;
--- a/balance/instance_health.h
+++ b/balance/instance_health.h
@@ -41,11 +41,13 @@
  private:
   [[nodiscard]] bool IsOutdated(millis ended_at) const;
   [[nodiscard]] millis FailureHold(millis ended_at);
+  [[nodiscard]] millis UnreachableHold(millis ended_at);
   bool MarkSuspect(attempt_outcome outcome, millis hold, int successes_to_clear,
                    millis ended_at);
 
   int successes_to_clear_ = 0;  ///< Successes still needed to clear it.
   bool has_failed_trial_ = false;
+  int unreachable_trials_ = 0;     ///< In a row, since the last answer.
   millis hold_until_;              ///< No trial before this time.
   std::optional<millis> good_at_;  ///< End of the last good attempt known.
   attempt_outcome cause_ = attempt_outcome::kOk;
