--- a/balance/instance_health.cc
+++ b/balance/instance_health.cc
@@ -10,7 +10,8 @@
 // or too few instances of a small service stay in use.
 constexpr millis kFailureHold(1'000);
 // An instance stays gray for several seconds, so a failed trial holds longer.
-constexpr millis kFailedTrialHold(1'800);
+// The rest of two seconds is for a retryable request to come.
+constexpr millis kFailedTrialHold(1'600);
 // The node of a trial that could not connect may be cut off from the instance
 // while others reach it, so one of them tries soon. If none can, the instance
 // is down, and trials become as rare as after other failures.
