Comments on shutdown times, holds and dropped bodies; large_version with other zones and numbers

The case in tests/process takes the zones and the first version from its environment, so that other fleets can be tried.

No functional change.

--- a/balance/instance_health.cc
+++ b/balance/instance_health.cc
@@ -75,6 +75,7 @@
   return is_trial ? kFailedTrialHold : kFailureHold;
 }
 
+// An attempt that began before the hold prolongs it no further.
 millis instance_health::UnreachableHold(millis ended_at) {
   if (!suspect()) {
     return kFailureHold;
--- a/balance/request_deadlines.h
+++ b/balance/request_deadlines.h
@@ -18,8 +18,8 @@
 request_deadlines DeadlinesFor(millis read_at, millis route_timeout,
                                std::optional<millis> caller_timeout);
 
-/// When a node that is shutting down gets no more new callers, and when its
-/// process ends, as times of the boot clock.
+/// The times of a node's shutdown, by the boot clock: when the balancer sends
+/// no more new callers, and when the process ends.
 struct shutdown_times {
   millis balancer_noticed_at;
   millis stops_at;
--- a/front/answer_memory.cc
+++ b/front/answer_memory.cc
@@ -28,8 +28,8 @@
 }
 
 // Bytes without end make a body the largest one before long, so that the
-// answers of sound instances stay. A dropped body is freed when its coroutine
-// resumes, and does not count until then.
+// answers of sound instances stay. A dropped body no longer counts, and is
+// freed when its coroutine resumes, in the next turn of the event loop.
 void answer_memory::DropLargest() {
   while (in_use_ > limit_) {
     const auto largest =
--- a/tests/process/large_version_case.py
+++ b/tests/process/large_version_case.py
@@ -2,7 +2,8 @@
 
 Claim: CONFIG holds: no request sent later than config_apply_s after the
 acknowledgement is run by the old service.
-Excuse: none; nothing limits a version's number. SMALL=1 is the control.
+Excuse: none; nothing limits a version's number. SMALL=1 is the control. FIRST
+sets the number before the first version, ZONES the nodes' zones.
 """
 
 import asyncio
@@ -13,13 +14,14 @@
 
 import standin
 
-PROXIES = 4
+ZONES = os.environ.get("ZONES", "za,za,za,za").split(",")
 CONSUMERS = 16
 WORK_S = 0.05
 CONFIG_APPLY_S = 2.0  # of the rule
 SECONDS = 20
 # A version that is made of the time of day. SMALL=1 takes r3 and r6 instead.
-FIRST_VERSION = 0 if os.environ.get("SMALL") else 1_764_927_000_000
+FIRST_VERSION = 0 if os.environ.get("SMALL") else int(
+    os.environ.get("FIRST", "1764927000000"))
 
 
 def choose():
@@ -27,7 +29,7 @@
 
 
 async def case(make):
-    fleet = make(["za"] * PROXIES)
+    fleet = make(ZONES)
     fleet.version = FIRST_VERSION
     await fleet.store.start()
     service_of = {}
@@ -45,7 +47,7 @@
     await fleet.start()
     beats = asyncio.ensure_future(fleet.heartbeats())
     until = time.monotonic() + SECONDS
-    consumers = [standin.Consumer(fleet, fleet.proxies[i % PROXIES],
+    consumers = [standin.Consumer(fleet, fleet.proxies[i % len(ZONES)],
                                   lambda: random.expovariate(4))
                  for i in range(CONSUMERS)]
     tasks = [asyncio.ensure_future(one.run(choose, until))
