Numbers above 2^32 of peers of an older version are completed

Cause: an older process reports 32 bits of its numbers. Compared with the whole own ones they are never ahead, so a newer node that leaves the reads of the store to older ones learns of no change.

Change: a report without upper halves is taken for the number nearest to the own one, if that is above 2^32.

No functional change below 2^32.

--- a/front/peer_reporter_records.cc
+++ b/front/peer_reporter_records.cc
@@ -5,12 +5,44 @@
 
 using boost::asio::ip::udp;
 
+namespace {
+
+// Returns the number nearest to `near` that has these lower 32 bits.
+uint64_t NearestWithLowerHalf(uint32_t lower, uint64_t near) {
+  constexpr uint64_t kStep = uint64_t{1} << 32;
+  const uint64_t candidate = near / kStep * kStep + lower;
+  if (candidate > near + kStep / 2 && candidate >= kStep) {
+    return candidate - kStep;
+  }
+  return candidate + kStep / 2 < near ? candidate + kStep : candidate;
+}
+
+// Processes of an older version report the lower 32 bits of their numbers.
+// Above 2^32, what they report is taken for a number near the own one: if that
+// is wrong, the node reads at a peer that has nothing newer.
+template <typename Count>
+Count Completed(Count reported, Count own) {
+  if (reported == Count() || own.value() <= UINT32_MAX) {
+    return reported;
+  }
+  return NearestWithLowerHalf(static_cast<uint32_t>(reported.value()),
+                              own.value());
+}
+
+}  // namespace
+
 void peer_reporter::CompareRecords(const std::string& name,
                                    const load_report& report) {
-  if (report.config_version > node_->ConfigVersion() ||
-      report.instances_offset > node_->instances_offset) {
-    on_ahead_({name, report.config_version, report.instances_offset,
-               report.zone != zone_});
+  const config_version own_version = node_->ConfigVersion();
+  const record_offset own_offset = node_->instances_offset;
+  config_version version = report.config_version;
+  record_offset offset = report.instances_offset;
+  if (version.value() <= UINT32_MAX && offset.value() <= UINT32_MAX) {
+    version = Completed(version, own_version);
+    offset = Completed(offset, own_offset);
+  }
+  if (version > own_version || offset > own_offset) {
+    on_ahead_({name, version, offset, report.zone != zone_});
   }
 }
 
