--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -96,19 +96,17 @@
   }
   service_ = PickService(*route_, node_.random.Unit());
   state_.idempotent = route_->idempotent;
-  request_deadlines deadlines =
+  std::optional<request_deadlines> deadlines =
       DeadlinesFor(started_at_, route_->timeout, terms_.time_left);
   if (node_.draining) {
-    const auto admitted =
-        AdmitAtShutdown(node_.shutdown, deadlines, route_->latency_objective,
-                        boot_clock::Now());
-    if (!admitted) {
-      return reason::kShuttingDown;
-    }
-    deadlines = *admitted;
+    deadlines = AdmitAtShutdown(node_.shutdown, *deadlines,
+                                route_->latency_objective, boot_clock::Now());
+  }
+  if (!deadlines) {
+    return reason::kShuttingDown;
   }
-  work_deadline_ = deadlines.work_until;
-  answer_deadline_ = deadlines.answer_by;
+  work_deadline_ = deadlines->work_until;
+  answer_deadline_ = deadlines->answer_by;
   node_.retries.NoteRequest(service_, started_at_);
   return std::nullopt;
 }
@@ -152,10 +150,9 @@
   node_.selector.Begin(key);
   attempted_ = key;
   state_.exchange = control;
-  node_.on_load_change(attempt.choice.basis == choice_basis::kTrial
-                           ? load_change::kTrialBegun
-                           : load_change::kSlotTaken,
-                       key);
+  const bool is_trial = attempt.choice.basis == choice_basis::kTrial;
+  node_.on_load_change(
+      is_trial ? load_change::kTrialBegun : load_change::kSlotTaken, key);
   guarded_timer slow_timer(node_.context.get_executor());
   slow_timer.Start(attempt.choice.slow_after,
                    [this, key, control] { OnSlowAttempt(key, *control); });
--- a/tests/front/peer_test.cc
+++ b/tests/front/peer_test.cc
@@ -6,7 +6,7 @@
 
 #include "front/peer_reporter.h"
 #include "front_world.h"
-#include "platform/endpoint.h"
+#include "reporting_node.h"
 
 namespace peridotarch {
 namespace {
@@ -14,112 +14,6 @@
 namespace asio = boost::asio;
 using asio::ip::udp;
 
-constexpr const char* kOwnAddress = "127.0.0.11";
-
-// Stands in for another node: sends load reports and records what arrives.
-class fake_peer {
- public:
-  fake_peer(asio::io_context& context, const char* address, std::string zone)
-      : zone_(std::move(zone)),
-        socket_(context, {asio::ip::make_address(address), 0}) {
-    socket_.non_blocking(true);
-  }
-
-  [[nodiscard]] host_port bound_address() const {
-    const auto local = socket_.local_endpoint();
-    return {local.address().to_string(), local.port()};
-  }
-  [[nodiscard]] uint32_t relay_key() const {
-    return NodeKeyOf(ToText({bound_address().host, bound_address().port}));
-  }
-
-  std::string SendReport(const udp::endpoint& to, int in_flight,
-                         uint32_t relay_for) {
-    load_report report;
-    report.incarnation = 1;
-    report.number = ++report_number_;
-    report.zone = ZoneKeyOf(zone_);
-    report.relay_for = relay_for;
-    report.load = {{KeyOf("i-1"), static_cast<uint8_t>(in_flight)}};
-    return SendDatagram(to, Encode(report, ""));
-  }
-  // Reports that this node knows of a change to the instances.
-  void SendChange(const udp::endpoint& to, uint64_t instances_offset,
-                  uint64_t config_version = 0) {
-    load_report report;
-    report.incarnation = 1;
-    report.number = ++report_number_;
-    report.zone = ZoneKeyOf(zone_);
-    report.instances_offset = instances_offset;
-    report.config_version = config_version;
-    SendDatagram(to, Encode(report, ""));
-  }
-  std::string SendDatagram(const udp::endpoint& to,
-                           const std::string& datagram) {
-    socket_.send_to(asio::buffer(datagram), to);
-    return datagram;
-  }
-
-  // Returns how often this datagram has arrived.
-  int64_t CountReceived(const std::string& datagram) {
-    ReceiveAll();
-    return std::count(received_.begin(), received_.end(), datagram);
-  }
-  // Returns how many datagrams have arrived.
-  size_t CountReceived() {
-    ReceiveAll();
-    return received_.size();
-  }
-
-  // Returns the latest report that has arrived.
-  load_report LatestReport() {
-    ReceiveAll();
-    REQUIRE_FALSE(received_.empty());
-    return DecodeLoadReport(received_.back(), "");
-  }
-
- private:
-  void ReceiveAll() {
-    std::string buffer(4096, '\0');
-    boost::system::error_code failure;
-    for (;;) {
-      const size_t size = socket_.receive(asio::buffer(buffer), 0, failure);
-      if (failure) {
-        return;
-      }
-      received_.push_back(buffer.substr(0, size));
-    }
-  }
-
-  const std::string zone_;
-  udp::socket socket_;
-  std::vector<std::string> received_;
-  uint32_t report_number_ = 0;
-};
-
-uint16_t FreePort(asio::io_context& context) {
-  const udp::socket probe(context, {asio::ip::make_address(kOwnAddress), 0});
-  return probe.local_endpoint().port();
-}
-
-// A node of zone "a" that exchanges load reports with its peers.
-struct reporting_node {
-  reporting_node() {
-    node_settings settings;
-    settings.zone = "a";
-    settings.callers = {kOwnAddress, 1};
-    settings.peer_port = FreePort(world.context);
-    address = {asio::ip::make_address(kOwnAddress), settings.peer_port};
-    node = std::make_shared<front_node>(world.context, settings, 1);
-    reporter = std::make_shared<peer_reporter>(node);
-  }
-
-  front_world world;
-  udp::endpoint address;
-  std::shared_ptr<front_node> node;
-  std::shared_ptr<peer_reporter> reporter;
-};
-
 TEST_CASE("a report from another zone is relayed once within the own zone") {
   reporting_node reporting;
   front_world& world = reporting.world;
@@ -321,66 +215,6 @@
         std::vector<load_entry>{{KeyOf(entry.id), 1}});
 }
 
-TEST_CASE("numbers above 2^32: a node finds that a peer is ahead, and tells") {
-  constexpr uint64_t kVersion = 1'764'927'000'003;
-  constexpr uint64_t kOffset = (uint64_t{1} << 32) + 10;
-  reporting_node reporting;
-  const auto node = reporting.node;
-  std::vector<peer_ahead> ahead;
-  reporting.reporter->Start(
-      [&ahead](const peer_ahead& peer) { ahead.push_back(peer); });
-  fleet_config config;
-  config.version = kVersion;
-  node->routes.Store(std::make_shared<const route_index>(config));
-  node->instances_offset = kOffset;
-  node->instances_changed_at = kOffset;
-  fake_peer peer(reporting.world.context, "127.0.0.12", "a");
-  peer.SendChange(reporting.address, kOffset, kVersion);
-  reporting.world.RunUntil([&] { return peer.CountReceived() > 0; });
-  CHECK(ahead.empty());
-  const load_report told = peer.LatestReport();
-  CHECK(told.instances_offset == kOffset);
-  CHECK(told.config_version == kVersion);
-  peer.SendChange(reporting.address, kOffset + 1, kVersion);
-  reporting.world.RunUntil([&] { return ahead.size() == 1; });
-  peer.SendChange(reporting.address, kOffset, kVersion + 3);
-  reporting.world.RunUntil([&] { return ahead.size() == 2; });
-  REQUIRE(ahead.size() == 2);
-  CHECK(ahead[0].instances_offset == kOffset + 1);
-  CHECK(ahead[1].config_version == kVersion + 3);
-}
-
-// Under overload each node had a report to relay for every failed attempt of
-// the other zones.
-// In a fleet of two builds, half of the newer nodes kept an old configuration.
-TEST_CASE("numbers above 2^32: a peer that reports 32 bits of them is ahead") {
-  constexpr uint64_t kOffset = (uint64_t{1} << 32) + 10;
-  reporting_node reporting;
-  const auto node = reporting.node;
-  std::vector<peer_ahead> ahead;
-  reporting.reporter->Start(
-      [&ahead](const peer_ahead& peer) { ahead.push_back(peer); });
-  fake_peer peer(reporting.world.context, "127.0.0.12", "a");
-  reporting.reporter->AddPeer(peer.bound_address());
-  node->instances_offset = kOffset;
-  const auto reports_of = [&](uint64_t offset) {
-    ahead.clear();
-    peer.SendChange(reporting.address, offset & UINT32_MAX);
-    reporting.world.RunUntil([&ahead] { return !ahead.empty(); }, millis(200));
-    return ahead.size();
-  };
-  CHECK(reports_of(kOffset) == 0);
-  CHECK(reports_of(kOffset - 1) == 0);
-  CHECK(reports_of(kOffset - 11) == 0);
-  CHECK(reports_of(0) == 0);
-  REQUIRE(reports_of(kOffset + 5) == 1);
-  CHECK(ahead.front().instances_offset == kOffset + 5);
-  // The lower half of the peer's number has begun anew.
-  node->instances_offset = 2 * (uint64_t{1} << 32) - 3;
-  REQUIRE(reports_of(2 * (uint64_t{1} << 32) + 4) == 1);
-  CHECK(ahead.front().instances_offset == 2 * (uint64_t{1} << 32) + 4);
-}
-
 TEST_CASE("many nodes: reports that arrive together are relayed together") {
   constexpr int kReports = 10;
   reporting_node reporting;
