The check on the memory of endless answers counts dropped bodies again

The check that many endless answers take less than 50 MB had been replaced by one on the most that is in use after drops, which the code keeps to the limit by itself. The old check is back as it was, on what is in use before a body is dropped and with the usual limit; the newer one stays beside it.

An exchange tells of its own dropped body. Before, each request copied the entry of its instance for that, and a body's reservation held the pool.

--- a/front/answer_memory.cc
+++ b/front/answer_memory.cc
@@ -15,9 +15,8 @@
 void answer_memory::Resize(answer_reservation& body, uint64_t bytes) {
   in_use_ += bytes - body.bytes_;
   body.bytes_ = bytes;
-  if (in_use_ > limit_) {
-    DropLargest();
-  }
+  peak_before_drops_ = std::max(peak_before_drops_, in_use_);
+  DropLargest();
   peak_ = std::max(peak_, in_use_);
 }
 
--- a/front/answer_memory.h
+++ b/front/answer_memory.h
@@ -19,7 +19,12 @@
 
   [[nodiscard]] uint64_t limit() const { return limit_; }
   [[nodiscard]] uint64_t in_use() const { return in_use_; }
+  /// Returns the most that was in use after bodies were dropped.
   [[nodiscard]] uint64_t peak() const { return peak_; }
+  /// Returns the most that was in use, with the body that is then dropped.
+  [[nodiscard]] uint64_t peak_before_drops() const {
+    return peak_before_drops_;
+  }
 
  private:
   friend class answer_reservation;
@@ -30,7 +35,8 @@
 
   const uint64_t limit_;
   uint64_t in_use_ = 0;
-  uint64_t peak_ = 0;  ///< The most that was in use after drops.
+  uint64_t peak_ = 0;
+  uint64_t peak_before_drops_ = 0;
   std::vector<answer_reservation*> in_read_;
 };
 
@@ -48,6 +54,7 @@
   bool Resize(uint64_t bytes);
   /// The body is whole, and is not dropped any more.
   void Complete();
+  [[nodiscard]] bool is_dropped() const { return is_dropped_; }
 
  private:
   friend class answer_memory;
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -190,16 +190,6 @@
   idle_.erase(ConnectionKey(instance));
 }
 
-// The connection is closed when the body is dropped, which ends its read.
-std::shared_ptr<answer_reservation> connection_pool::ReserveFor(
-    const instance_entry& instance, const connection_ptr& connection) {
-  return std::make_shared<answer_reservation>(memory_,
-                                              [this, instance, connection] {
-                                                on_body_dropped(instance);
-                                                connection->stream.close();
-                                              });
-}
-
 awaitable<exchange_result> connection_pool::Exchange(
     exchange_params params, exchange_control& control) {
   exchange_result result;
@@ -240,7 +230,9 @@
   result.summary.written = write_progress::kAll;
   std::optional<answer_parser> parser;
   error_code failure;
-  auto reservation = ReserveFor(params.instance, connection);
+  // Closing the connection ends the read of a body that is dropped.
+  auto reservation = std::make_shared<answer_reservation>(
+      memory_, [connection] { connection->stream.close(); });
   for (int stray_answers = 0;; ++stray_answers) {
     failure = co_await ReadAnswerHead(
         *connection, parser, [this, &params](const answer_notice& notice) {
@@ -256,6 +248,9 @@
     }
     result.summary.read = read_progress::kNothing;
   }
+  if (reservation->is_dropped()) {
+    on_body_dropped(params.instance);
+  }
   if (control.cancelled) {
     result.summary.ended = attempt_end_cause::kCancelled;
     co_return result;
--- a/front/connection_pool.h
+++ b/front/connection_pool.h
@@ -90,8 +90,6 @@
  private:
   using connection_ptr = std::shared_ptr<instance_connection>;
 
-  std::shared_ptr<answer_reservation> ReserveFor(
-      const instance_entry& instance, const connection_ptr& connection);
   connection_ptr TakeIdle(const instance_entry& instance, millis max_idle_time);
   /// Returns how many idle connections to the instance are kept.
   int KeepIdle(const instance_entry& instance, connection_ptr connection);
--- a/tests/front/endless_answer_test.cc
+++ b/tests/front/endless_answer_test.cc
@@ -135,10 +135,7 @@
     front_world world;
     world.AddRoute("/box/", true);
     endless_instance instance(world, answer);
-    world.AddInstance([](const http_request& request) {
-      return InstanceAnswer(RequestId(request), 200, "body",
-                            "X-Response-Seal: 1\r\n");
-    });
+    world.AddInstance(SoundAnswer);
     for (int i = 0; i < 4; ++i) {
       const http_response reply =
           world.SendRequest(verb::get, "/box/1", "r" + std::to_string(i));
@@ -173,8 +170,8 @@
   CHECK(result->summary.ended == attempt_end_cause::kTimeout);
 }
 
-TEST_CASE("endless answer: many at once stay within the node's memory") {
-  front_world world(kAnswerBytes);
+// Sends requests to an instance whose bodies do not end, all at once.
+void AnswerManyEndless(front_world& world) {
   world.AddRoute("/pay/", false);
   endless_instance instance(world,
                             {"body", kHead + "\r\n", kFiller, millis(0)});
@@ -192,10 +189,22 @@
     world.RunUntil([&answered] { return answered == kCallers; });
   }
   CHECK(answered == kCallers);
-  CHECK(world.node->pool.memory().peak() <= kAnswerBytes);
   CHECK(world.node->pool.memory().in_use() == 0);
 }
 
+TEST_CASE("endless answer: many at once stay within the node's memory") {
+  SECTION("the usual limit, with the bodies that are dropped") {
+    front_world world;
+    AnswerManyEndless(world);
+    CHECK(world.node->pool.memory().peak_before_drops() < (50 << 20));
+  }
+  SECTION("a lower limit") {
+    front_world world(kAnswerBytes);
+    AnswerManyEndless(world);
+    CHECK(world.node->pool.memory().peak() <= kAnswerBytes);
+  }
+}
+
 // Once the bodies without end had used up the node's memory, the answers of
 // sound instances were dropped too.
 TEST_CASE("endless answer: those of sound instances are kept meanwhile") {
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -101,6 +101,12 @@
   return std::string(request["X-Request-Id"]);
 }
 
+/// Returns the answer of a sound instance, with the body "body".
+inline std::string SoundAnswer(const http_request& request) {
+  return InstanceAnswer(RequestId(request), 200, "body",
+                        "X-Response-Seal: 1\r\n");
+}
+
 /// A node with callers and instances, all on loopback.
 class front_world {
  public:
