--- a/balance/instance_health.cc
+++ b/balance/instance_health.cc
@@ -69,21 +69,21 @@
 
 // A failure during the hold is of a request that was already in flight, so it
 // does not count as a failed trial.
-millis instance_health::FailureHold(millis ended_at) {
+bool instance_health::NoteFailedTrial(millis ended_at) {
   const bool is_trial = suspect() && ended_at >= hold_until_;
   has_failed_trial_ = has_failed_trial_ || is_trial;
-  return is_trial ? kFailedTrialHold : kFailureHold;
+  return is_trial;
+}
+
+millis instance_health::FailureHold(millis ended_at) {
+  return NoteFailedTrial(ended_at) ? kFailedTrialHold : kFailureHold;
 }
 
 // An attempt that began before the hold prolongs it no further.
 millis instance_health::UnreachableHold(millis ended_at) {
-  if (!suspect()) {
-    return kFailureHold;
-  }
-  if (ended_at < hold_until_) {
-    return millis(0);
+  if (!NoteFailedTrial(ended_at)) {
+    return suspect() ? millis(0) : kFailureHold;
   }
-  has_failed_trial_ = true;
   const int doublings = std::min(unreachable_trials_++, kMaxHoldDoublings);
   return std::min(kUnreachableTrialHold * (1 << doublings), kFailedTrialHold);
 }
--- a/balance/instance_health.h
+++ b/balance/instance_health.h
@@ -40,6 +40,8 @@
 
  private:
   [[nodiscard]] bool IsOutdated(millis ended_at) const;
+  /// Returns whether an attempt that has failed was a trial.
+  bool NoteFailedTrial(millis ended_at);
   [[nodiscard]] millis FailureHold(millis ended_at);
   [[nodiscard]] millis UnreachableHold(millis ended_at);
   bool MarkSuspect(attempt_outcome outcome, millis hold, int successes_to_clear,
--- a/balance/request_deadlines.cc
+++ b/balance/request_deadlines.cc
@@ -17,7 +17,6 @@
 // arrives too late on its way extends the instance's work by that time.
 constexpr millis kShutdownWorkMargin(600);
 constexpr millis kShutdownAnswerMargin(50);
-constexpr millis kMinWorkTime(10);  // no instance answers in less
 
 }  // namespace
 
@@ -54,7 +53,7 @@
   const millis needed_time =
       now >= times.balancer_noticed_at
           ? whole_time
-          : std::min(whole_time, std::max(objective, kMinWorkTime));
+          : std::min(whole_time, std::max(objective, kMinAttemptTime));
   if (capped.work_until - now < needed_time) {
     return std::nullopt;
   }
--- a/balance/request_deadlines.h
+++ b/balance/request_deadlines.h
@@ -7,6 +7,9 @@
 
 namespace peridotarch {
 
+/// No instance answers in less.
+inline constexpr millis kMinAttemptTime(10);
+
 /// The deadlines of one request, as times of the boot clock.
 struct request_deadlines {
   millis work_until;  ///< The instance stops working on it.
--- a/front/caller_request.cc
+++ b/front/caller_request.cc
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr millis kMinAttemptTime(10);  // no instance answers in less
 // Includes attempts at instances that could not be reached.
 constexpr int kMaxAttempts = 4;
 // An instance may have dropped an idle connection without closing it. A request
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -129,17 +129,15 @@
                                {"connections", node->sessions.size()}});
   peers->AnnounceLeaving();
   while (boot_clock::Now() < exit_at) {
-    const millis now = boot_clock::Now();
-    if (now >= balancer_noticed_at) {
+    if (boot_clock::Now() >= balancer_noticed_at) {
       const std::vector<caller_session*> open(node->sessions.begin(),
                                               node->sessions.end());
       for (caller_session* session : open) {
         session->CloseIfIdle();
       }
-    }
-    if (now >= balancer_noticed_at && node->in_flight == 0 &&
-        node->sessions.empty()) {
-      break;
+      if (node->in_flight == 0 && node->sessions.empty()) {
+        break;
+      }
     }
     co_await Sleep(executor, kDrainPollInterval);
   }
--- a/tests/front/large_number_report_test.cc
+++ b/tests/front/large_number_report_test.cc
@@ -12,9 +12,7 @@
   constexpr uint64_t kOffset = (uint64_t{1} << 32) + 10;
   reporting_node reporting;
   const auto node = reporting.node;
-  std::vector<peer_ahead> ahead;
-  reporting.reporter->Start(
-      [&ahead](const peer_ahead& peer) { ahead.push_back(peer); });
+  const std::vector<peer_ahead>& ahead = reporting.StartAndCollect();
   fleet_config config;
   config.version = kVersion;
   node->routes.Store(std::make_shared<const route_index>(config));
@@ -36,21 +34,17 @@
   CHECK(ahead[1].config_version == kVersion + 3);
 }
 
-// Under overload each node had a report to relay for every failed attempt of
-// the other zones.
 // In a fleet of two builds, half of the newer nodes kept an old configuration.
 TEST_CASE("numbers above 2^32: a peer that reports 32 bits of them is ahead") {
   constexpr uint64_t kOffset = (uint64_t{1} << 32) + 10;
   reporting_node reporting;
   const auto node = reporting.node;
-  std::vector<peer_ahead> ahead;
-  reporting.reporter->Start(
-      [&ahead](const peer_ahead& peer) { ahead.push_back(peer); });
+  const std::vector<peer_ahead>& ahead = reporting.StartAndCollect();
   fake_peer peer(reporting.world.context, "127.0.0.12", "a");
   reporting.reporter->AddPeer(peer.bound_address());
   node->instances_offset = kOffset;
   const auto reports_of = [&](uint64_t offset) {
-    ahead.clear();
+    reporting.ahead.clear();
     peer.SendChange(reporting.address, offset & UINT32_MAX);
     reporting.world.RunUntil([&ahead] { return !ahead.empty(); }, millis(200));
     return ahead.size();
--- a/tests/front/peer_test.cc
+++ b/tests/front/peer_test.cc
@@ -99,9 +99,7 @@
 TEST_CASE("many nodes: a peer is read only if the records have changed") {
   reporting_node reporting;
   const auto node = reporting.node;
-  std::vector<peer_ahead> ahead;
-  reporting.reporter->Start(
-      [&ahead](const peer_ahead& peer) { ahead.push_back(peer); });
+  const std::vector<peer_ahead>& ahead = reporting.StartAndCollect();
   fake_peer same_zone_peer(reporting.world.context, "127.0.0.12", "a");
   fake_peer other_zone_peer(reporting.world.context, "127.0.0.13", "b");
   node->instances_offset = 10;
@@ -215,6 +213,8 @@
         std::vector<load_entry>{{KeyOf(entry.id), 1}});
 }
 
+// Under overload each node had a report to relay for every failed attempt of
+// the other zones.
 TEST_CASE("many nodes: reports that arrive together are relayed together") {
   constexpr int kReports = 10;
   reporting_node reporting;
--- a/tests/front/reporting_node.h
+++ b/tests/front/reporting_node.h
@@ -118,7 +118,15 @@
     reporter = std::make_shared<peer_reporter>(node);
   }
 
+  /// Starts to report. Returns the peers that turn out to be ahead, which are
+  /// added to `ahead`.
+  const std::vector<peer_ahead>& StartAndCollect() {
+    reporter->Start([this](const peer_ahead& peer) { ahead.push_back(peer); });
+    return ahead;
+  }
+
   front_world world;
+  std::vector<peer_ahead> ahead;
   boost::asio::ip::udp::endpoint address;
   std::shared_ptr<front_node> node;
   std::shared_ptr<peer_reporter> reporter;
--- a/tests/front/request_exception_test.cc
+++ b/tests/front/request_exception_test.cc
@@ -16,11 +16,7 @@
 http_response AnswerAfterThrow(load_change thrown_at, int expected_runs) {
   front_world world;
   world.AddRoute("/pay/", false);
-  const raw_server& instance =
-      world.AddInstance([](const http_request& request) {
-        return InstanceAnswer(RequestId(request), 200, "body",
-                              "X-Response-Seal: 1\r\n");
-      });
+  const raw_server& instance = world.AddInstance(SoundAnswer);
   bool throws = true;
   world.node->on_load_change = [&throws, thrown_at](load_change change,
                                                     instance_key) {
@@ -61,10 +57,7 @@
 TEST_CASE("exception in a request: one that was sent may have run") {
   front_world world;
   world.AddRoute("/pay/", false);
-  world.AddInstance([](const http_request& request) {
-    return InstanceAnswer(RequestId(request), 200, "body",
-                          "X-Response-Seal: 1\r\n");
-  });
+  world.AddInstance(SoundAnswer);
   world.node->pool.on_notice = [](const instance_entry&, const answer_notice&) {
     throw std::logic_error("not foreseen");
   };
--- a/tests/front/shutdown_test.cc
+++ b/tests/front/shutdown_test.cc
@@ -67,10 +67,7 @@
   for (int steps = 0; steps < kMaxSteps; ++steps) {
     front_world world;
     world.AddRoute("/pay/", false);
-    raw_server& instance = world.AddInstance([](const http_request& request) {
-      return InstanceAnswer(RequestId(request), 200, "body",
-                            "X-Response-Seal: 1\r\n");
-    });
+    raw_server& instance = world.AddInstance(SoundAnswer);
     const std::string answer = CloseAfterSteps(world, steps);
     INFO("closed after " << steps << " handlers");
     CHECK((answer.ends_with("body") || instance.served == 0));
@@ -117,11 +114,7 @@
     "once the balancer has noticed") {
   front_world world;
   world.AddRoute("/pay/", false);
-  const raw_server& instance =
-      world.AddInstance([](const http_request& request) {
-        return InstanceAnswer(RequestId(request), 200, "body",
-                              "X-Response-Seal: 1\r\n");
-      });
+  const raw_server& instance = world.AddInstance(SoundAnswer);
   constexpr millis kEnoughForObjective(1'000);
   constexpr millis kEnoughForAll(2'500);
   SECTION("it is refused and not sent") {
@@ -179,11 +172,7 @@
     "refused") {
   front_world world;
   world.AddRoute("/pay/", false);
-  const raw_server& instance =
-      world.AddInstance([](const http_request& request) {
-        return InstanceAnswer(RequestId(request), 200, "body",
-                              "X-Response-Seal: 1\r\n");
-      });
+  const raw_server& instance = world.AddInstance(SoundAnswer);
   world.StartShutdown(millis(800));
   world.node->on_load_change = [&world](load_change change, instance_key) {
     if (change == load_change::kSlotTaken) {
