A node takes its memory and descriptors from the settings; the budget is safe on any thread

Cause: the settings of a process hold limits.memory_mb and max_fds, and deploy/settings.template passed on neither: a node took the machine's memory and the system's limit for its own. The budget could serve one thread only, so the product's own interface, which has several, had none.

--- a/balance/node_settings.h
+++ b/balance/node_settings.h
@@ -31,6 +31,7 @@
   retry_limits retries;         ///< Of the whole fleet.
   uint64_t answer_bytes = 32 << 20;   ///< Memory for bodies of answers.
   uint64_t memory_bytes = 256 << 20;  ///< Of the machine, for this process.
+  uint64_t max_fds = 1 << 20;         ///< Descriptors that it may open.
   /// A request with a key runs only if the node's configuration was the newest
   /// one within this time; without a value that is not checked.
   std::optional<millis> max_config_age;
--- a/front/front_daemon.cc
+++ b/front/front_daemon.cc
@@ -1,8 +1,5 @@
 #include "front/front_daemon.h"
 
-#include <malloc.h>
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -164,21 +161,6 @@
   }
 }
 
-// Instances, other nodes and the store need descriptors too.
-size_t ConnectionsForDescriptors() {
-  constexpr rlim_t kMostUsed = 1 << 20;
-  rlimit descriptors{};
-  ::getrlimit(RLIMIT_NOFILE, &descriptors);
-  return std::min(descriptors.rlim_cur, kMostUsed) / 2;
-}
-
-// A long body is returned to the system when it is freed. By default, freed
-// memory of its size would be kept for later bodies, beside those in use.
-void ReturnFreedMemory() {
-  constexpr int kLongBytes = 128 << 10;
-  ::mallopt(M_MMAP_THRESHOLD, kLongBytes);
-}
-
 }  // namespace
 
 void RunFrontDaemon(const std::string& settings_path) {
@@ -188,8 +170,8 @@
   const auto seed = static_cast<uint64_t>(wall_clock::Now().count());
   const auto node = std::make_shared<front_node>(context, settings,
                                                  seed ^ KeyOf(settings.node));
-  node->max_connections =
-      std::min(node->max_connections, ConnectionsForDescriptors());
+  node->max_connections = std::min(node->max_connections,
+                                   ConnectionsForDescriptors(settings.max_fds));
   SetTaskFailureLog([weak = std::weak_ptr(node)](std::string_view task,
                                                  std::string_view what) {
     if (const auto alive = weak.lock()) {
--- a/memory/answer_sizes.cc
+++ b/memory/answer_sizes.cc
@@ -15,6 +15,7 @@
 // A single long answer is expected again for some time, since callers of long
 // answers are what fills the memory.
 void answer_sizes::Note(uint64_t route, uint64_t bytes) {
+  const std::lock_guard lock(mutex_);
   if (by_route_.size() >= kMaxRoutes && !by_route_.contains(route)) {
     by_route_.clear();
   }
@@ -23,6 +24,7 @@
 }
 
 uint64_t answer_sizes::Expected(uint64_t route) const {
+  const std::lock_guard lock(mutex_);
   const auto found = by_route_.find(route);
   return found == by_route_.end() ? 0 : found->second;
 }
--- a/memory/answer_sizes.h
+++ b/memory/answer_sizes.h
@@ -3,11 +3,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <mutex>
 #include <unordered_map>
 
 namespace peridotarch {
 
-/// How long the answers of each route are: the longest of the recent ones.
+/// How long the answers of each route are: the longest of the recent ones. Safe
+/// on any thread.
 class answer_sizes {
  public:
   /// Records an answer of a route, in bytes.
@@ -16,6 +18,7 @@
   [[nodiscard]] uint64_t Expected(uint64_t route) const;
 
  private:
+  mutable std::mutex mutex_;
   std::unordered_map<uint64_t, uint64_t> by_route_;
 };
 
--- a/review/standin.py
+++ b/review/standin.py
@@ -295,7 +295,8 @@
                               for proxy in fleet.proxies[:3]),
             "internal_ports": f"{self.ports[3]},{self.ports[3] + 1}",
             "bounds": ",".join(f"{k}={v}" for k, v in fleet.bounds.items()),
-            "bootstrap": "true" if first_start else "false"}
+            "bootstrap": "true" if first_start else "false",
+            "limits.memory_mb": "", "limits.max_fds": ""}
         text = (ROOT / "deploy" / "settings.template").read_text()
         text = re.sub(r"\{\{([^}]*)\}\}", lambda m: values[m.group(1)], text)
         # The metrics port of the template may be taken on this machine.
--- a/tests/process/proxies.py
+++ b/tests/process/proxies.py
@@ -9,6 +9,8 @@
 
 from wire import ROOT, read_body, read_head
 
+LISTENS = "0A"  # the state of a socket in /proc/net/tcp
+
 
 class Proxy:
     """One edge machine: the program of the deploy file with its settings."""
@@ -34,7 +36,8 @@
                               for proxy in fleet.proxies[:3]),
             "internal_ports": f"{self.ports[3]},{self.ports[3] + 1}",
             "bounds": ",".join(f"{k}={v}" for k, v in fleet.bounds.items()),
-            "bootstrap": "true" if first_start else "false"}
+            "bootstrap": "true" if first_start else "false",
+            "limits.memory_mb": "", "limits.max_fds": ""}
         text = (ROOT / "deploy" / "settings.template").read_text()
         text = re.sub(r"\{\{([^}]*)\}\}", lambda m: values[m.group(1)], text)
         # The metrics port of the template may be taken on this machine.
@@ -91,6 +94,30 @@
         except OSError:
             return None
 
+    def sockets(self):
+        """Returns the inodes of the open sockets, none after the process."""
+        inodes = set()
+        try:
+            with os.scandir(f"/proc/{self.process.pid}/fd") as entries:
+                for entry in entries:
+                    found = re.match(r"socket:\[(\d+)", os.readlink(entry.path))
+                    if found:
+                        inodes.add(found.group(1))
+        except OSError:
+            pass  # the process or a descriptor is gone
+        return inodes
+
+    def unread_kb(self):
+        """Returns what was received on connections and not read yet."""
+        inodes, unread = self.sockets(), 0
+        with open("/proc/net/tcp", encoding="ascii") as connections:
+            next(connections)
+            for line in connections:
+                columns = line.split()
+                if columns[3] != LISTENS and columns[9] in inodes:
+                    unread += int(columns[4].split(":")[1], 16)
+        return unread / 1024
+
     def open_descriptors(self):
         """Returns their number, 0 after the process."""
         try:
