Bytes that were received and not read count for the request

What callers saw: nothing yet; the platform counts these bytes as memory and kills the process. Cause: the budget counted none of them, and the system grew the receive buffer of one connection to 18 MB (a trial of the system calls alone). Change: the receive buffer has a set size; after a read that filled its space, what is still unread counts for the request's reservation. A refused connection gets a smaller buffer. Ruled out: smaller buffers the more connections there are.

--- a/memory/body_blocks.cc
+++ b/memory/body_blocks.cc
@@ -19,7 +19,7 @@
     : reservation_(std::move(reservation)) {}
 
 bool body_blocks::Charge(uint64_t bytes, millis now) {
-  return !reservation_ || reservation_->Resize(bytes, now);
+  return !reservation_ || reservation_->Resize(bytes + unread_bytes_, now);
 }
 
 // Each block is as large as those before it together, up to a limit, so that a
@@ -77,6 +77,12 @@
 
 bool body_blocks::SetHeadBytes(uint64_t bytes, millis now) {
   head_bytes_ = bytes;
+  unread_bytes_ = 0;
+  return Charge(head_bytes_ + capacity_, now);
+}
+
+bool body_blocks::SetUnreadBytes(uint64_t bytes, millis now) {
+  unread_bytes_ = bytes;
   return Charge(head_bytes_ + capacity_, now);
 }
 
--- a/memory/body_blocks.h
+++ b/memory/body_blocks.h
@@ -31,6 +31,9 @@
   /// Sets what the request holds beside its body, in bytes. Returns false if
   /// the reservation has ended.
   bool SetHeadBytes(uint64_t bytes, millis now);
+  /// Sets how many bytes were received for the request and not read yet.
+  /// Returns false if the reservation has ended.
+  bool SetUnreadBytes(uint64_t bytes, millis now);
   /// The body is whole.
   void Complete();
 
@@ -53,6 +56,7 @@
   uint64_t size_ = 0;
   uint64_t capacity_ = 0;
   uint64_t head_bytes_ = 0;
+  uint64_t unread_bytes_ = 0;
 };
 
 }  // namespace peridotarch
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -23,7 +23,9 @@
 
 constexpr size_t kFirstRead = 4096;
 constexpr size_t kBodyRead = 64 << 10;
-constexpr millis kWriteTimeout(15'000);
+// The usual size at the start of a connection. The system doubles it.
+constexpr int kReceiveBuffer = 64 << 10;
+constexpr size_t kDiscardRead = 16 << 10;
 // How long the other side may take to read the last answer and to close.
 constexpr millis kCloseTimeout(1'000);
 constexpr int kHttp11 = 11;
@@ -64,22 +66,49 @@
 }
 
 http_session::http_session(beast::tcp_stream stream)
-    : stream_(std::move(stream)) {}
+    : stream_(std::move(stream)) {
+  SetReceiveBuffer(kReceiveBuffer);
+}
+
+// With a size that is set, the system no longer adapts it. It would grow the
+// buffer of a single connection to many megabytes.
+void http_session::SetReceiveBuffer(int bytes) {
+  error_code ignored;
+  stream_.socket().set_option(asio::socket_base::receive_buffer_size(bytes),
+                              ignored);
+}
 
-awaitable<bool> http_session::WaitForBytes() {
+awaitable<bool> http_session::WaitForBytes(std::optional<millis> limit) {
   if (buffer_.size() > 0) {
     co_return true;
   }
   error_code failure;
   stream_.expires_never();
+  if (limit) {
+    stream_.expires_after(ToChrono(*limit));
+  }
+  is_waiting_ = true;
   const size_t got = co_await stream_.async_read_some(
       buffer_.prepare(kFirstRead),
       asio::redirect_error(asio::use_awaitable, failure));
+  is_waiting_ = false;
   buffer_.commit(got);
   received_at_ = boot_clock::Now();
   co_return !failure;
 }
 
+void http_session::CloseIfNotServing() {
+  if (is_waiting_ || is_reading_) {
+    stream_.close();
+  }
+}
+
+void http_session::AbortRead() {
+  if (is_reading_) {
+    stream_.cancel();
+  }
+}
+
 awaitable<bool> http_session::DiscardBytes() {
   error_code failure;
   buffer_.clear();
@@ -166,12 +195,19 @@
   co_return outcome;
 }
 
-awaitable<bool> http_session::Write(http_response reply, bool keep_alive) {
+awaitable<bool> http_session::Write(http_response reply, bool keep_alive,
+                                    millis pause) {
   reply.keep_alive(keep_alive);
-  stream_.expires_after(ToChrono(kWriteTimeout));
+  const auto end = std::chrono::steady_clock::now() + ToChrono(kWriteTimeout);
+  http::response_serializer<http::string_body> serializer(reply);
   error_code failure;
-  co_await http::async_write(
-      stream_, reply, asio::redirect_error(asio::use_awaitable, failure));
+  while (!failure && !serializer.is_done()) {
+    const auto pause_end = std::chrono::steady_clock::now() + ToChrono(pause);
+    stream_.expires_at(std::min(end, pause_end));
+    co_await http::async_write_some(
+        stream_, serializer,
+        asio::redirect_error(asio::use_awaitable, failure));
+  }
   co_return !failure && keep_alive;
 }
 
@@ -181,10 +217,13 @@
   error_code failure;
   stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, failure);
   buffer_.clear();
+  // What is not read takes memory too.
+  SetReceiveBuffer(kDiscardRead);
+  buffer_.max_size(kDiscardRead);
   stream_.expires_after(ToChrono(kCloseTimeout));
   while (!failure) {
     co_await stream_.async_read_some(
-        buffer_.prepare(kFirstRead),
+        buffer_.prepare(kDiscardRead),
         asio::redirect_error(asio::use_awaitable, failure));
   }
   stream_.close();
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -50,10 +50,14 @@
 class http_session {
  public:
   explicit http_session(boost::beast::tcp_stream stream);
+  http_session(const http_session&) = delete;
+  http_session& operator=(const http_session&) = delete;
 
-  /// Waits without a limit for the first byte of the next request. Returns
+  /// Waits for the first byte of the next request, at most for `limit`. Returns
   /// false if the connection has ended.
-  awaitable<bool> WaitForBytes();
+  awaitable<bool> WaitForBytes(std::optional<millis> limit = std::nullopt);
+  /// Closes the connection while it waits for a request or reads one in blocks.
+  void CloseIfNotServing();
 
   /// Drops bytes as they arrive. Returns false if the connection has ended.
   awaitable<bool> DiscardBytes();
@@ -67,8 +71,13 @@
   awaitable<block_read_outcome> ReadInBlocks(
       read_limits limits, std::shared_ptr<memory_reservation> memory);
 
-  /// Writes a reply; returns false when the connection is of no more use.
-  awaitable<bool> Write(http_response reply, bool keep_alive);
+  /// Ends the read of a request. Does nothing while a reply is written.
+  void AbortRead();
+
+  /// Writes a reply; returns false when the connection is of no more use. Ends
+  /// when the other side has read nothing for `pause`.
+  awaitable<bool> Write(http_response reply, bool keep_alive,
+                        millis pause = kWriteTimeout);
 
   /// Closes the connection in order.
   void Close();
@@ -80,6 +89,8 @@
   [[nodiscard]] boost::beast::tcp_stream& stream() { return stream_; }
 
  private:
+  static constexpr millis kWriteTimeout = millis(15'000);
+
   using head_parser =
       boost::beast::http::request_parser<boost::beast::http::empty_body>;
   using time_point = std::chrono::steady_clock::time_point;
@@ -101,11 +112,18 @@
   awaitable<boost::system::error_code> ReadChunks(head_parser& head,
                                                   body_blocks& body,
                                                   const read_limits& limits);
+  /// Lets the system receive so many bytes before they are read.
+  void SetReceiveBuffer(int bytes);
+  /// Counts the bytes that were received and not read for the request. Returns
+  /// false if its reservation has ended.
+  bool CountUnread(body_blocks& body);
   void SetBodyExpiry(time_point end, const read_limits& limits);
 
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
-  millis received_at_;  ///< When the bytes in `buffer_` had been received.
+  millis received_at_;       ///< When the bytes in `buffer_` had been received.
+  bool is_waiting_ = false;  ///< For the first byte of a request.
+  bool is_reading_ = false;  ///< A request, in blocks.
 };
 
 }  // namespace peridotarch
--- a/proxy/http_session_blocks.cc
+++ b/proxy/http_session_blocks.cc
@@ -23,6 +23,10 @@
 constexpr size_t kBufferedBody = 4096;
 // Of the session's coroutines and of the state of a request that is served.
 constexpr uint64_t kRequestBytes = 4 << 10;
+// Longer bodies get a buffer that carries 64 MiB in time over a round trip of
+// 100 ms.
+constexpr uint64_t kLongBody = 1 << 20;
+constexpr int kLongReceiveBuffer = 256 << 10;
 // A head is held by the request and by its attempt.
 constexpr uint64_t kHeadCopies = 2;
 
@@ -43,7 +47,9 @@
   const bool is_pipelined = buffer_.size() > 0;
   BoundBuffer(limits, kBufferedBody);
   auto body = std::make_shared<body_blocks>(memory);
+  is_reading_ = true;
   block_read_outcome outcome = co_await ReadBlocks(limits, std::move(body));
+  is_reading_ = false;
   if (memory->is_ended()) {
     outcome = Refused(reason::kMemoryShort);
   }
@@ -70,12 +76,12 @@
   if (!co_await WriteContinue(head)) {
     co_return block_read_outcome{};
   }
-  if (head.chunked()) {
-    failure = co_await ReadChunks(head, *body, limits);
-  } else {
-    failure =
-        co_await ReadSized(*body, head.content_length().value_or(0), limits);
+  const uint64_t length = head.content_length().value_or(0);
+  if (length > kLongBody) {
+    SetReceiveBuffer(kLongReceiveBuffer);
   }
+  failure = head.chunked() ? co_await ReadChunks(head, *body, limits)
+                           : co_await ReadSized(*body, length, limits);
   if (failure) {
     co_return Refused(RefusalFor(failure));
   }
@@ -118,6 +124,12 @@
   co_return failure;
 }
 
+bool http_session::CountUnread(body_blocks& body) {
+  error_code failure;
+  const size_t unread = stream_.socket().available(failure);
+  return body.SetUnreadBytes(failure ? 0 : unread, boot_clock::Now());
+}
+
 void http_session::SetBodyExpiry(time_point end, const read_limits& limits) {
   const time_point pause_end =
       std::chrono::steady_clock::now() + ToChrono(limits.body_pause);
@@ -151,6 +163,9 @@
         asio::redirect_error(asio::use_awaitable, failure));
     body.Commit(got, boot_clock::Now());
     left -= got;
+    if (got == space.size() && !CountUnread(body)) {
+      co_return NoMemory();
+    }
   }
   co_return failure;
 }
@@ -175,6 +190,9 @@
     co_await http::async_read_some(
         stream_, buffer_, head,
         asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure && !CountUnread(body)) {
+      failure = NoMemory();
+    }
     // While chunks arrive without a pause, the event loop completes the next
     // read before the stream's timer.
     const bool is_late = std::chrono::steady_clock::now() >= end;
--- a/tests/process/standin.py
+++ b/tests/process/standin.py
@@ -56,6 +56,7 @@
         self.ports = self.find_ports(len(zones))
         self.proxies = [Proxy(self, i, zone) for i, zone in enumerate(zones)]
         self.version = 0
+        self.others = []  # fleets that end with this one
 
     @staticmethod
     def find_ports(count):
@@ -102,6 +103,8 @@
                                                     "ready"))
 
     def end(self):
+        for fleet in self.others:
+            fleet.end()
         for proxy in self.proxies:
             proxy.kill()
         self.record.close()
