The product's own interface has the memory budget and bounded connections

What callers saw: a process that grows with its clients: no bound on the sum of bodies, on unread answers, or on connections, also on the inner port, before the fleet's key is shown. Cause: proxy/ had its own reader of bodies, held a copy for each owner that was asked, and had no limit. Change: it reads requests in blocks that count for the budget of memory/ and that all attempts and forwards share; answers count until they are written, at the owner and at the entry node, and a request is sent only if there is room for its expected answer. A refusal is answered before the connection is closed; the inner port answers it to the other node as not run. Connections of both ports are bounded. A caller that reads nothing for 5 s is closed. An instance whose answer was dropped here is not blamed.

--- a/core/hash.cc
+++ b/core/hash.cc
@@ -1,10 +1,13 @@
 #include "core/hash.h"
 
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
 
+#include <memory>
+
 namespace peridotarch {
 
 uint64_t Hash64(std::string_view text, uint64_t seed) {
@@ -22,6 +25,18 @@
   return result;
 }
 
+digest Sha256(std::span<const std::string_view> parts) {
+  const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(
+      EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+  EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+  for (const std::string_view part : parts) {
+    EVP_DigestUpdate(context.get(), part.data(), part.size());
+  }
+  digest result;
+  EVP_DigestFinal_ex(context.get(), result.data(), nullptr);
+  return result;
+}
+
 digest HmacSha256(std::string_view key, std::string_view text) {
   digest result;
   unsigned int size = result.size();
--- a/core/hash.h
+++ b/core/hash.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,9 @@
 /// Returns the SHA-256 digest of `text`.
 digest Sha256(std::string_view text);
 
+/// Returns the SHA-256 of the parts, one behind the other.
+digest Sha256(std::span<const std::string_view> parts);
+
 /// Returns the HMAC-SHA-256 of `text` under `key`.
 digest HmacSha256(std::string_view key, std::string_view text);
 
--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "front/instance_connection.h"
+#include "platform/answer_body.h"
 #include "platform/call_wire.h"
 #include "platform/final_status.h"
 #include "platform/quiet.h"
@@ -39,8 +40,6 @@
 constexpr int kMaxInformationalAnswers = 8;
 constexpr int kMaxStrayAnswers = 3;
 
-using answer_parser = http::response_parser<http::string_body>;
-
 std::string ConnectionKey(const instance_entry& instance) {
   return instance.address + ':' + std::to_string(instance.port) + '/' +
          instance.id;
@@ -113,31 +112,6 @@
   co_return http::make_error_code(http::error::unexpected_body);  // malformed
 }
 
-// The deadline is checked after each read: while bytes arrive without a pause,
-// the event loop completes the next read before the stream's timer.
-awaitable<error_code> ReadBody(instance_connection& connection,
-                               answer_parser& parser,
-                               memory_reservation& reservation,
-                               std::chrono::steady_clock::time_point deadline) {
-  error_code failure;
-  const uint64_t head_bytes = HeadBytes(parser.get());
-  while (!failure && !parser.is_done()) {
-    co_await http::async_read_some(
-        connection.stream, connection.buffer, parser,
-        asio::redirect_error(asio::use_awaitable, failure));
-    const uint64_t bytes = parser.get().body().capacity() + head_bytes;
-    reservation.NoteProgress(bytes - reservation.bytes(), boot_clock::Now());
-    if (!reservation.Resize(bytes, boot_clock::Now())) {
-      failure = http::make_error_code(http::error::body_limit);
-    }
-    const bool is_late = std::chrono::steady_clock::now() >= deadline;
-    if (!failure && !parser.is_done() && is_late) {
-      failure = beast::error::timeout;
-    }
-  }
-  co_return failure;
-}
-
 }  // namespace
 
 void exchange_control::Cancel() {
@@ -252,7 +226,8 @@
         });
     if (!failure) {
       result.summary.read = read_progress::kPart;
-      failure = co_await ReadBody(*connection, *parser, *reservation, deadline);
+      failure = co_await ReadAnswerBody(connection->stream, connection->buffer,
+                                        *parser, *reservation, deadline);
     }
     if (failure || stray_answers == kMaxStrayAnswers ||
         AnswersRequest(parser->get(), params.id)) {
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -9,6 +9,7 @@
 #include "proxy/http_session.h"
 #include "proxy/message.h"
 #include "proxy/node.h"
+#include "proxy/request_memory.h"
 
 namespace peridotarch {
 
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr millis kIdle(60'000);
+// An answer that is not read takes the room of other answers.
+constexpr millis kWritePause(5'000);
 constexpr int kHttp11 = 11;
 
 http_response ReadyReply(const node& here) {
@@ -29,11 +32,11 @@
   return reply;
 }
 
-bool IsReadyCheck(const http_request& request) {
+bool IsReadyCheck(const block_request& request) {
   return request.method() == http::verb::get && request.target() == "/ready";
 }
 
-awaitable<http_response> AnswerCaller(node& here, http_request request) {
+awaitable<counted_reply> AnswerCaller(node& here, block_request request) {
   const bool head = request.method() == http::verb::head;
   const auto begun = std::chrono::steady_clock::now();
   call_result result = co_await RunRequest(here, std::move(request));
@@ -41,53 +44,66 @@
   here.measures.request_time.Record(static_cast<uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(spent).count()));
   here.measures.CountReply(result.why, result.run_verdict);
-  http_response reply = ToReply(std::move(result));
-  StripHopHeaders(reply);
+  counted_reply counted;
+  counted.memory = std::move(result.answer_memory);
+  counted.reply = ToReply(std::move(result));
+  StripHopHeaders(counted.reply);
   if (head) {
-    reply.body().clear();
+    counted.reply.body().clear();
   }
-  Check(IsWhole(reply, head), invariant::kWholeAnswer);
-  co_return reply;
+  Check(IsWhole(counted.reply, head), invariant::kWholeAnswer);
+  co_return counted;
+}
+
+// The count falls only after the reply is written: a shutdown waits for it.
+awaitable<bool> ServeOne(node& here, http_session& session,
+                         block_request request) {
+  here.in_flight.fetch_add(1);
+  const std::shared_ptr<void> counted(
+      nullptr, [&here](void*) { here.in_flight.fetch_sub(1); });
+  const bool keep = request.keep_alive();
+  counted_reply answer;
+  if (IsReadyCheck(request)) {
+    answer.reply = ReadyReply(here);
+  } else {
+    answer = co_await AnswerCaller(here, std::move(request));
+  }
+  co_return co_await session.Write(std::move(answer.reply),
+                                   keep && !here.draining.load(), kWritePause);
+}
+
+awaitable<void> Refuse(node& here, http_session& session, reason why) {
+  call_result refused = Refusal(why);
+  here.measures.CountReply(refused.why, refused.run_verdict);
+  co_await session.Write(ToReply(std::move(refused)), false);
+  co_await session.CloseAfterDelivery();
 }
 
 }  // namespace
 
 awaitable<void> ServeCaller(std::shared_ptr<node> here,
                             boost::beast::tcp_stream stream) {
-  http_session session(std::move(stream));
-  for (;;) {
-    read_limits limits;
-    limits.idle = kIdle;
-    read_outcome read = co_await session.Read(limits);
-    if (!read.request) {
-      if (read.refused) {
-        call_result refused = Refusal(*read.refused);
-        here->measures.CountReply(refused.why, refused.run_verdict);
-        http_response reply = ToReply(std::move(refused));
-        co_await session.Write(std::move(reply), false);
-      }
+  const auto session = std::make_shared<http_session>(std::move(stream));
+  connection_place place(here->callers, session);
+  while (place.is_admitted()) {
+    place.SetIdle(true);
+    const bool has_bytes = co_await session->WaitForBytes(kIdle);
+    if (!has_bytes) {
       break;
     }
-    // The count falls only after the reply is written: a shutdown waits for
-    // it.
-    here->in_flight.fetch_add(1);
-    const bool check = IsReadyCheck(*read.request);
-    const bool keep = read.request->keep_alive();
-    // Not one conditional expression: GCC 12 copies its temporary byte by byte.
-    http_response reply;
-    if (check) {
-      reply = ReadyReply(*here);
-    } else {
-      reply = co_await AnswerCaller(*here, std::move(*read.request));
+    auto memory = ReserveRequest(*here, session);
+    block_read_outcome read =
+        co_await session->ReadInBlocks(read_limits(), std::move(memory));
+    place.SetIdle(false);
+    if (read.refused) {
+      co_await Refuse(*here, *session, *read.refused);
     }
-    const bool more = co_await session.Write(std::move(reply),
-                                             keep && !here->draining.load());
-    here->in_flight.fetch_sub(1);
-    if (!more) {
+    if (!read.request ||
+        !co_await ServeOne(*here, *session, std::move(*read.request))) {
       break;
     }
   }
-  session.Close();
+  session->Close();
 }
 
 }  // namespace peridotarch
--- a/proxy/control.cc
+++ b/proxy/control.cc
@@ -377,7 +377,7 @@
     auto& link = peers_[record.id];
     if (!link || link->inner() != inner) {
       link = std::make_shared<peer>(node_->context, record.id, inner,
-                                    node_->settings.fleet_key);
+                                    node_->settings.fleet_key, node_->memory);
     }
   }
   MakeSomeEligible(nodes);
--- a/proxy/daemon.cc
+++ b/proxy/daemon.cc
@@ -13,6 +13,7 @@
 
 #include "core/invariant.h"
 #include "core/task_failure.h"
+#include "memory/memory_budget.h"
 #include "proxy/caller_session.h"
 #include "proxy/control.h"
 #include "proxy/listener.h"
@@ -116,6 +117,7 @@
   SetTaskFailureLog([](std::string_view task, std::string_view what) {
     LOG(ERROR) << "task " << task << " failed: " << what;
   });
+  ReturnFreedMemory();
   asio::io_context context(settings.threads);
   const auto here = std::make_shared<node>(context, settings);
   const auto callers = std::make_shared<tcp::acceptor>(
--- a/proxy/entry.cc
+++ b/proxy/entry.cc
@@ -61,7 +61,7 @@
 }
 
 // Returns after which time a team that is above its limit may try again.
-std::optional<millis> ChargeTeam(node& here, const http_request& request) {
+std::optional<millis> ChargeTeam(node& here, const block_request& request) {
   const auto teams = here.teams.Load();
   const auto bucket = teams->find(std::string(request[kTeamHeader]));
   const millis now = steady_clock::Now();
@@ -72,7 +72,7 @@
 }
 
 awaitable<call_result> Offer(node& here, const std::shared_ptr<peer>& owner,
-                             forwarded_call call, http_request request) {
+                             forwarded_call call, block_request request) {
   if (owner) {
     co_return co_await owner->Forward(std::move(call), std::move(request));
   }
@@ -84,7 +84,7 @@
 // while running it again does no harm.
 awaitable<call_result> OfferToOwners(node& here, const route_rule& route,
                                      forwarded_call call,
-                                     http_request request) {
+                                     block_request request) {
   const millis deadline = steady_clock::Now() + route.timeout;
   verdict run_verdict = verdict::kNotRun;
   const bool keyed = !call.key.empty();
@@ -136,7 +136,7 @@
 
 }  // namespace
 
-awaitable<call_result> RunRequest(node& here, http_request request) {
+awaitable<call_result> RunRequest(node& here, block_request request) {
   // One snapshot serves the whole request, whatever is published meanwhile.
   const auto config = here.config.Load();
   const bool keyed = !request[kKeyHeader].empty();
@@ -172,6 +172,9 @@
   if (shards != fleet->services.end() && !shards->second.empty()) {
     call.shard = ChooseShard(shards->second, call);
   }
+  if (!here.memory->HasRoomForAnswer(here.sizes.Expected(Hash64(call.route)))) {
+    co_return RefuseHere(reason::kMemoryShort, keyed);
+  }
   StripForForwarding(request);
   co_return co_await OfferToOwners(here, *route, std::move(call),
                                    std::move(request));
--- a/proxy/entry.h
+++ b/proxy/entry.h
@@ -2,6 +2,7 @@
 #define PROXY_ENTRY_H_
 
 #include "platform/awaitable.h"
+#include "platform/block_body.h"
 #include "platform/http_client.h"
 #include "proxy/call.h"
 
@@ -11,7 +12,7 @@
 
 /// Takes a caller's request, whose head was checked, through route, limit and
 /// owner to its result.
-awaitable<call_result> RunRequest(node& here, http_request request);
+awaitable<call_result> RunRequest(node& here, block_request request);
 
 }  // namespace peridotarch
 
--- a/proxy/message.h
+++ b/proxy/message.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_MESSAGE_H_
 #define PROXY_MESSAGE_H_
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,6 +33,12 @@
 /// Returns the reply to a caller for a result.
 http_response ToReply(call_result result);
 
+/// A reply, and its part in the node's memory until it is written.
+struct counted_reply {
+  http_response reply;
+  std::shared_ptr<memory_reservation> memory;
+};
+
 /// Writes verdict and reason of a result into the headers of its reply, and
 /// reads them back; the text form between the owner and the entry node.
 call_result FromReply(http_response reply);
--- a/proxy/node.h
+++ b/proxy/node.h
@@ -10,7 +10,10 @@
 #include "core/metrics.h"
 #include "core/rcu_cell.h"
 #include "core/timeline.h"
+#include "memory/answer_sizes.h"
+#include "memory/memory_budget.h"
 #include "platform/host.h"
+#include "proxy/connection_limit.h"
 #include "proxy/control_port.h"
 #include "proxy/fleet_view.h"
 #include "proxy/ledger_feed.h"
@@ -38,6 +41,10 @@
   owner_table owners;
   ledger_feed ledger;
   control_port port;
+  const std::shared_ptr<memory_budget> memory;
+  answer_sizes sizes;        ///< By route.
+  connection_limit callers;  ///< Connections to the port for callers.
+  connection_limit peers;    ///< Connections to the inner port.
   std::atomic<bool> draining = false;
   std::atomic<bool> isolated = false;
   std::atomic<bool> doubts = false;  ///< Membership says so.
--- a/proxy/owner_shard.cc
+++ b/proxy/owner_shard.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "config/snapshot.h"
+#include "core/hash.h"
 #include "core/invariant.h"
 #include "inner/headers.h"
 #include "proxy/claim_log.h"
@@ -53,7 +54,7 @@
 }
 
 awaitable<call_result> owner_shard::Run(forwarded_call call,
-                                        http_request request) {
+                                        block_request request) {
   auto here = RunHere(std::move(call), std::move(request));
   co_return co_await asio::co_spawn(strand_, std::move(here),
                                     asio::use_awaitable);
@@ -92,7 +93,7 @@
 }
 
 awaitable<call_result> owner_shard::RunHere(forwarded_call call,
-                                            http_request request) {
+                                            block_request request) {
   run now;
   now.deadline = steady_clock::Now() + call.left;
   now.call = std::move(call);
@@ -168,6 +169,15 @@
       late.run_verdict = now.attempts_said;
       co_return late;
     }
+    if (!node_.memory->HasRoomForAnswer(
+            node_.sizes.Expected(Hash64(now.call.route)))) {
+      scheduler_.Release(id, steady_clock::Now());
+      Pump();
+      call_result refused =
+          Refusal(now.attempts == 0 ? reason::kMemoryShort : now.latest);
+      refused.run_verdict = now.attempts_said;
+      co_return refused;
+    }
     attempt_result attempt = co_await Attempt(now, slot.instance, id);
     const verdict run_verdict = JudgeAttempt(attempt.end);
     now.attempts_said = CombineVerdicts(now.attempts_said, run_verdict);
@@ -189,6 +199,7 @@
       call_result answered;
       answered.run_verdict = verdict::kRan;
       answered.answer = std::move(attempt.answer);
+      answered.answer_memory = std::move(attempt.answer_memory);
       co_return answered;
     }
     if (!MayRetry(now)) {
@@ -234,13 +245,15 @@
   now.request.set(kDeadlineHeader, std::to_string(left.count()));
   judge_.OnStart(instance, ticket_id, now.call);
   const auto begun = std::chrono::steady_clock::now();
-  attempt_result result =
-      co_await link->Send(now.request, std::max(left, millis(1)));
+  const uint64_t route = Hash64(now.call.route);
+  attempt_result result = co_await link->Send(
+      now.request, std::max(left, millis(1)), node_.sizes.Expected(route));
   const auto spent = std::chrono::steady_clock::now() - begun;
   const auto micros =
       std::chrono::duration_cast<std::chrono::microseconds>(spent).count();
   if (result.end.ended == attempt_end_cause::kAnswered) {
     node_.measures.upstream_time.Record(static_cast<uint64_t>(micros));
+    node_.sizes.Note(route, result.answer.body().size());
   }
   judge_.OnEnd(instance, ticket_id, now.call, result, micros);
   if (result.end.ended == attempt_end_cause::kTimeout) {
@@ -324,7 +337,7 @@
     if (!link || link->where().incarnation != entry.incarnation ||
         link->where().port != entry.port ||
         link->where().address != entry.address) {
-      link = std::make_shared<upstream_link>(strand_, entry);
+      link = std::make_shared<upstream_link>(strand_, entry, node_.memory);
     }
   }
   std::erase_if(links_, [&](const auto& link) {
--- a/proxy/owner_shard.h
+++ b/proxy/owner_shard.h
@@ -10,6 +10,7 @@
 
 #include "inner/forwarded_call.h"
 #include "platform/awaitable.h"
+#include "platform/block_body.h"
 #include "platform/host.h"
 #include "proxy/call.h"
 #include "proxy/executor.h"
@@ -38,7 +39,7 @@
   void Start();
 
   /// Runs a request to its end; callable from any executor.
-  awaitable<call_result> Run(forwarded_call call, http_request request);
+  awaitable<call_result> Run(forwarded_call call, block_request request);
 
   /// Takes in the platform's list and the rules in force; callable from any
   /// thread.
@@ -65,7 +66,7 @@
   /// One request while the shard works on it.
   struct run {
     forwarded_call call;
-    http_request request;
+    block_request request;
     millis deadline;
     int attempts = 0;
     int sheds = 0;
@@ -74,7 +75,7 @@
     reason latest = reason::kNoCapacity;
   };
 
-  awaitable<call_result> RunHere(forwarded_call call, http_request request);
+  awaitable<call_result> RunHere(forwarded_call call, block_request request);
   awaitable<call_result> RunKeyed(run& now);
   awaitable<call_result> RunAttempts(run& now, uint64_t submission);
   awaitable<shard_action> WaitForSlot(ticket id, const run& now);
--- a/proxy/peer.cc
+++ b/proxy/peer.cc
@@ -1,6 +1,7 @@
 #include "proxy/peer.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
@@ -35,7 +36,8 @@
 // Runs on the link's own strand, since the stream's timers do.
 template <typename Link>
 awaitable<call_result> Exchange(std::shared_ptr<Link> used, forwarded_call call,
-                                http_request request) {
+                                block_request request,
+                                std::shared_ptr<memory_reservation> memory) {
   try {
     co_await used->client.Open(kOpenTimeout);
   } catch (const platform_error&) {
@@ -44,8 +46,8 @@
   try {
     const std::string text = Encode(call);
     const millis timeout = call.left + kAnswerMargin;
-    http_response answer =
-        co_await used->client.Forward(std::move(request), text, timeout);
+    http_response answer = co_await used->client.Forward(std::move(request),
+                                                         text, timeout, memory);
     if (answer.count(kInnerAnswerHeader) != 0) {
       const bool own = answer[kInnerAnswerHeader] == call.id;
       Check(own, invariant::kWholeAnswer);
@@ -54,7 +56,10 @@
       }
       answer.erase(kInnerAnswerHeader);
     }
-    co_return FromReply(std::move(answer));
+    memory->Complete();
+    call_result result = FromReply(std::move(answer));
+    result.answer_memory = std::move(memory);
+    co_return result;
   } catch (const platform_error&) {
     co_return Refusal(reason::kOwnerLost);
   }
@@ -69,18 +74,20 @@
 }  // namespace
 
 peer::peer(asio::io_context& context, std::string id, endpoint inner,
-           std::string fleet_key)
+           std::string fleet_key, std::shared_ptr<memory_budget> memory)
     : context_(context),
       id_(std::move(id)),
       inner_(std::move(inner)),
-      fleet_key_(std::move(fleet_key)) {}
+      fleet_key_(std::move(fleet_key)),
+      memory_(std::move(memory)) {}
 
 peer::~peer() = default;
 
 awaitable<call_result> peer::Forward(forwarded_call call,
-                                     http_request request) {
+                                     block_request request) {
   auto used = Take();
-  auto exchange = Exchange(used, std::move(call), std::move(request));
+  auto exchange =
+      Exchange(used, std::move(call), std::move(request), ReserveAnswer(used));
   call_result result = co_await asio::co_spawn(used->on, std::move(exchange),
                                                asio::use_awaitable);
   PutBack(std::move(used));
@@ -96,6 +103,18 @@
   co_return answer;
 }
 
+// Ending the call ends the read of an answer that is dropped.
+std::shared_ptr<memory_reservation> peer::ReserveAnswer(
+    const std::shared_ptr<link>& used) const {
+  auto end = [weak = std::weak_ptr(used)] {
+    if (const auto alive = weak.lock()) {
+      asio::post(alive->on, [alive] { alive->client.Cancel(); });
+    }
+  };
+  return std::make_shared<memory_reservation>(
+      memory_, memory_kind::kAnswer, std::move(end), boot_clock::Now());
+}
+
 std::shared_ptr<peer::link> peer::Take() {
   {
     const std::lock_guard lock(mutex_);
--- a/proxy/peer_session.cc
+++ b/proxy/peer_session.cc
@@ -12,6 +12,7 @@
 #include "proxy/message.h"
 #include "proxy/node.h"
 #include "proxy/owner_shard.h"
+#include "proxy/request_memory.h"
 
 namespace peridotarch {
 
@@ -29,84 +30,96 @@
   return reply;
 }
 
-bool HasMark(channel& from, const http_request& request) {
+bool HasMark(channel& from, const block_request& request) {
   const std::string covered =
       CoveredText(request.method_string(), request.target(),
                   request[kInnerCallHeader], ToHex(Sha256(request.body())));
   return from.Verify(request[kInnerSealHeader], covered);
 }
 
-awaitable<http_response> RunForwarded(node& here, http_request request) {
+awaitable<counted_reply> RunForwarded(node& here, block_request request) {
   forwarded_call call;
   try {
     call = DecodeForwardedCall(request[kInnerCallHeader]);
   } catch (const codec_error&) {
-    co_return ToReply(Refusal(reason::kBadRequest));
+    co_return counted_reply{ToReply(Refusal(reason::kBadRequest)), {}};
   }
   StripForForwarding(request);
   const auto shard = here.owners.Get(call.service, call.shard);
   const std::string id = call.id;
   call_result result = co_await shard->Run(std::move(call), std::move(request));
+  auto memory = std::move(result.answer_memory);
   http_response reply = ToReply(std::move(result));
   reply.set(kInnerAnswerHeader, id);
-  co_return reply;
+  co_return counted_reply{std::move(reply), std::move(memory)};
 }
 
-awaitable<http_response> AnswerPeer(node& here, control& loops,
-                                    http_request request) {
+awaitable<counted_reply> AnswerPeer(node& here, control& loops,
+                                    block_request request) {
   if (request.target() == kRpcTarget && request[kInnerCallHeader].empty()) {
-    co_return TextReply(http::status::ok,
-                        co_await loops.HandleRpc(request.body()));
+    std::string answer = co_await loops.HandleRpc(ToText(request.body()));
+    co_return counted_reply{TextReply(http::status::ok, std::move(answer)), {}};
   }
   co_return co_await RunForwarded(here, std::move(request));
 }
 
+// Returns whether the connection stays open.
+awaitable<bool> ServeOne(node& here, control& loops, channel& marks,
+                         http_session& session, block_request request) {
+  if (request.target() == "/metrics") {
+    UpdateMemoryGauges(here);
+    http_response text = TextReply(http::status::ok, here.registry.ToText());
+    co_return co_await session.Write(std::move(text), true);
+  }
+  if (!HasMark(marks, request)) {
+    here.measures.inner_refused.Add();
+    http_response refused = TextReply(http::status::forbidden, "");
+    co_return co_await session.Write(std::move(refused), false);
+  }
+  here.in_flight.fetch_add(1);
+  const std::shared_ptr<void> counted(
+      nullptr, [&here](void*) { here.in_flight.fetch_sub(1); });
+  counted_reply answer = co_await AnswerPeer(here, loops, std::move(request));
+  co_return co_await session.Write(std::move(answer.reply), true);
+}
+
 }  // namespace
 
 awaitable<void> ServePeer(std::shared_ptr<node> here,
                           std::shared_ptr<control> loops,
                           boost::beast::tcp_stream stream) {
-  http_session session(std::move(stream));
+  const auto session = std::make_shared<http_session>(std::move(stream));
+  connection_place place(here->peers, session);
   const std::string nonce = MakeNonce();
   channel marks(here->settings.fleet_key, nonce);
-  for (;;) {
-    read_limits limits;
-    limits.idle = kIdle;
-    read_outcome read = co_await session.Read(limits);
-    if (!read.request) {
+  bool stays_open = place.is_admitted();
+  while (stays_open) {
+    place.SetIdle(true);
+    const bool has_bytes = co_await session->WaitForBytes(kIdle);
+    if (!has_bytes) {
       break;
     }
-    const std::string target(read.request->target());
-    if (target == kHelloTarget) {
-      http_response hello = TextReply(http::status::ok, nonce);
-      if (!co_await session.Write(std::move(hello), true)) {
-        break;
-      }
-      continue;
-    }
-    if (target == "/metrics") {
-      http_response text = TextReply(http::status::ok, here->registry.ToText());
-      if (!co_await session.Write(std::move(text), true)) {
-        break;
-      }
-      continue;
+    auto memory = ReserveRequest(*here, session);
+    block_read_outcome read =
+        co_await session->ReadInBlocks(read_limits(), std::move(memory));
+    place.SetIdle(false);
+    if (read.refused) {
+      // The other node reads that the request has not run.
+      co_await session->Write(ToReply(Refusal(*read.refused)), false);
+      co_await session->CloseAfterDelivery();
     }
-    if (!HasMark(marks, *read.request)) {
-      here->measures.inner_refused.Add();
-      http_response refused = TextReply(http::status::forbidden, "");
-      co_await session.Write(std::move(refused), false);
+    if (!read.request) {
       break;
     }
-    here->in_flight.fetch_add(1);
-    http_response reply =
-        co_await AnswerPeer(*here, *loops, std::move(*read.request));
-    const bool more = co_await session.Write(std::move(reply), true);
-    here->in_flight.fetch_sub(1);
-    if (!more) {
-      break;
+    if (read.request->target() == kHelloTarget) {
+      http_response hello = TextReply(http::status::ok, nonce);
+      stays_open = co_await session->Write(std::move(hello), true);
+    } else {
+      stays_open = co_await ServeOne(*here, *loops, marks, *session,
+                                     std::move(*read.request));
     }
   }
-  session.Close();
+  session->Close();
 }
 
 }  // namespace peridotarch
--- a/proxy/settings.cc
+++ b/proxy/settings.cc
@@ -12,6 +12,10 @@
 constexpr size_t kMinFleetKeyBytes = 16;
 constexpr int64_t kMaxPort = 65535;
 constexpr int64_t kMaxThreads = 64;
+constexpr int64_t kMaxMegabytes = 1 << 20;
+constexpr int kMegabyteBits = 20;
+constexpr int64_t kMinFds = 256;
+constexpr int64_t kMaxFds = 1 << 20;
 
 std::vector<setting> Table() {
   const std::string name = "1 to 63 letters, digits, '.', '-' or '_'";
@@ -39,6 +43,14 @@
        .allowed = "1 to 64",
        .meaning = "threads that serve requests",
        .fallback = "2"},
+      {.name = "memory-mb",
+       .allowed = "1 to 1048576",
+       .meaning = "memory that the process may take, in MB",
+       .fallback = "112"},
+      {.name = "max-fds",
+       .allowed = "256 to 1048576",
+       .meaning = "descriptors that the process may open, at most its limit",
+       .fallback = "1048576"},
       {.name = "help",
        .allowed = "no value",
        .meaning = "print this text",
@@ -110,6 +122,11 @@
   settings.hosts_port = hosts.port;
   settings.fleet_key = FleetKey(reader);
   settings.threads = static_cast<int>(reader.Number("threads", 1, kMaxThreads));
+  settings.memory_bytes =
+      static_cast<uint64_t>(reader.Number("memory-mb", 1, kMaxMegabytes))
+      << kMegabyteBits;
+  settings.max_fds =
+      static_cast<size_t>(reader.Number("max-fds", kMinFds, kMaxFds));
   CheckPorts(reader);
   CheckWords(reader);
   reader.ThrowIfRejected();
--- a/proxy/settings.h
+++ b/proxy/settings.h
@@ -1,6 +1,7 @@
 #ifndef PROXY_SETTINGS_H_
 #define PROXY_SETTINGS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -20,7 +21,9 @@
   std::string fleet_key;  ///< Shared by the fleet's processes; 16 bytes or
                           ///< more.
   int threads = 0;        ///< Threads that serve requests.
-  std::string notice;     ///< Help or version to print in place of running.
+  uint64_t memory_bytes = uint64_t{112} << 20;  ///< That the process may take.
+  size_t max_fds = size_t{1} << 20;  ///< Descriptors that it may open.
+  std::string notice;  ///< Help or version to print in place of running.
 };
 
 /// Reads and checks all settings from flags and the environment. Throws
--- a/proxy/shard_judge.cc
+++ b/proxy/shard_judge.cc
@@ -22,6 +22,10 @@
   if (result.end.shed) {
     return outcome_kind::kShed;
   }
+  // The instance was answering when its answer was dropped here.
+  if (result.memory_short) {
+    return outcome_kind::kOk;
+  }
   switch (result.end.ended) {
     case attempt_end_cause::kAnswered:
       return result.answer.result_int() >= kFirstServerError
--- a/proxy/upstream_link.cc
+++ b/proxy/upstream_link.cc
@@ -1,6 +1,7 @@
 #include "proxy/upstream_link.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -14,6 +15,7 @@
 
 #include "core/error.h"
 #include "inner/headers.h"
+#include "platform/answer_body.h"
 #include "platform/final_status.h"
 #include "platform/quiet.h"
 #include "platform/to_chrono.h"
@@ -35,8 +37,6 @@
 constexpr int kHttp11 = 11;
 constexpr int kInformational = 1;  // 1xx
 
-using answer_parser = http::response_parser<http::string_body>;
-
 // An answer that only the end of the connection delimits cannot be told from
 // one that was cut, so it does not count as whole.
 bool HasKnownLength(const answer_parser& parser) {
@@ -53,12 +53,15 @@
   beast::flat_buffer buffer;
 };
 
-upstream_link::upstream_link(asio::any_io_executor strand, host where)
-    : strand_(std::move(strand)), where_(std::move(where)) {}
+upstream_link::upstream_link(asio::any_io_executor strand, host where,
+                             std::shared_ptr<memory_budget> memory)
+    : strand_(std::move(strand)),
+      where_(std::move(where)),
+      memory_(std::move(memory)) {}
 
 upstream_link::~upstream_link() = default;
 
-std::unique_ptr<upstream_link::connection> upstream_link::TakeIdle() {
+std::shared_ptr<upstream_link::connection> upstream_link::TakeIdle() {
   while (!idle_.empty()) {
     auto taken = std::move(idle_.back());
     idle_.pop_back();
@@ -69,19 +72,36 @@
   return nullptr;
 }
 
-awaitable<attempt_result> upstream_link::Send(const http_request& request,
-                                              millis timeout) {
+// Closing the connection ends the read of an answer that is dropped.
+std::shared_ptr<memory_reservation> upstream_link::ReserveAnswer(
+    const std::shared_ptr<connection>& used) const {
+  auto end = [weak = std::weak_ptr(used), strand = strand_] {
+    asio::post(strand, [weak] {
+      if (const auto open = weak.lock()) {
+        open->stream.close();
+      }
+    });
+  };
+  return std::make_shared<memory_reservation>(
+      memory_, memory_kind::kAnswer, std::move(end), boot_clock::Now());
+}
+
+awaitable<attempt_result> upstream_link::Send(const block_request& request,
+                                              millis timeout,
+                                              uint64_t expected_bytes) {
   attempt_result result;
   const auto until = std::chrono::steady_clock::now() + ToChrono(timeout);
   auto used = TakeIdle();
   if (!used) {
-    used = std::make_unique<connection>(strand_);
+    used = std::make_shared<connection>(strand_);
     const millis limit = std::min(timeout, kConnectTimeout);
     if (!co_await ConnectTo(used->stream, where_.address, where_.port, limit)) {
       result.end.ended = attempt_end_cause::kRefused;
       co_return result;
     }
   }
+  auto memory = ReserveAnswer(used);
+  memory->Expect(expected_bytes);
   used->stream.expires_at(until);
   error_code failure;
   result.end.written = write_progress::kPart;
@@ -110,10 +130,13 @@
       result.end.ended = attempt_end_cause::kMalformed;
       co_return result;
     }
-    co_await http::async_read(
-        used->stream, used->buffer, *parser,
-        asio::redirect_error(asio::use_awaitable, failure));
+    // Others are not sent unless there is room for this answer too.
+    const auto length = parser->content_length();
+    memory->Expect(std::max<uint64_t>(expected_bytes, length.value_or(0)));
+    failure = co_await ReadAnswerBody(used->stream, used->buffer, *parser,
+                                      *memory, until);
   }
+  result.memory_short = memory->is_ended();
   if (failure) {
     result.end.ended = EndingOf(failure);
     co_return result;
@@ -121,6 +144,8 @@
   result.end.read = read_progress::kWhole;
   result.end.ended = attempt_end_cause::kAnswered;
   result.answer = parser->release();
+  memory->Complete();
+  result.answer_memory = std::move(memory);
   result.end.shed = result.answer.count(kNotStartedHeader) != 0 &&
                     result.answer.result() == http::status::service_unavailable;
   result.draining = result.answer.count(kDrainingHeader) != 0;
--- a/proxy/upstream_link.h
+++ b/proxy/upstream_link.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "core/millis.h"
+#include "memory/memory_budget.h"
 #include "platform/awaitable.h"
+#include "platform/block_body.h"
 #include "platform/host.h"
 #include "platform/http_client.h"
 #include "request/attempt.h"
@@ -18,7 +20,10 @@
 struct attempt_result {
   attempt_summary end;
   http_response answer;
-  bool draining = false;  ///< The instance says that it takes no new work.
+  bool draining = false;      ///< The instance says that it takes no new work.
+  bool memory_short = false;  ///< The answer was dropped for want of memory.
+  /// The part of `answer` in the node's memory.
+  std::shared_ptr<memory_reservation> answer_memory;
 };
 
 /// The connections to one instance. A connection carries one exchange at a
@@ -26,11 +31,15 @@
 /// calls run on the strand of the instance's shard.
 class upstream_link {
  public:
-  upstream_link(boost::asio::any_io_executor strand, host where);
+  /// Answers count for `memory`.
+  upstream_link(boost::asio::any_io_executor strand, host where,
+                std::shared_ptr<memory_budget> memory);
   ~upstream_link();
 
-  /// Sends one attempt and reads its whole answer, within `timeout`.
-  awaitable<attempt_result> Send(const http_request& request, millis timeout);
+  /// Sends one attempt and reads its whole answer, within `timeout`. The answer
+  /// is expected to have `expected_bytes`, 0 if not known.
+  awaitable<attempt_result> Send(const block_request& request, millis timeout,
+                                 uint64_t expected_bytes = 0);
 
   /// Asks the instance to cancel an attempt.
   awaitable<cancel_answer> Cancel(std::string attempt, millis timeout);
@@ -43,11 +52,14 @@
  private:
   struct connection;
 
-  std::unique_ptr<connection> TakeIdle();
+  std::shared_ptr<connection> TakeIdle();
+  std::shared_ptr<memory_reservation> ReserveAnswer(
+      const std::shared_ptr<connection>& used) const;
 
   boost::asio::any_io_executor strand_;
   host where_;
-  std::vector<std::unique_ptr<connection>> idle_;
+  const std::shared_ptr<memory_budget> memory_;
+  std::vector<std::shared_ptr<connection>> idle_;
 };
 
 }  // namespace peridotarch
--- a/tests/process/idle_connections_case.py
+++ b/tests/process/idle_connections_case.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 import crowd
+import own_interface
 import standin
 
 MEMORY_MB = 48
@@ -70,7 +71,7 @@
     ordinary = await crowd.ordinary_request(fleet, proxy, TRIES)
     for client in clients:
         client.cancel()
-    print(f"{form.name}: {len(clients)} clients, descriptors {most}, allowed "
+    print(f"{proxy.name}, {form.name}: {len(clients)} clients, descriptors {most}, allowed "
           f"{form.descriptors}; ordinary request {ordinary}")
     broken = crowd.check_memory(proxy, MEMORY_MB)
     broken += ["open descriptors"] if most > form.descriptors else []
@@ -79,12 +80,28 @@
     return broken
 
 
+def limit_descriptors(proxy, form):
+    limit = f'ulimit -n {form.descriptors}; exec "$@"'
+    proxy.command = ["sh", "-c", limit, "sh", *proxy.fleet.command]
+
+
+async def run_on_own(other):
+    """Returns what is broken at nodes with the product's own interface."""
+    broken = []
+    for form in FORMS:
+        fleet = await own_interface.start_nodes(
+            other, 1, MEMORY_MB, crowd.SHORT_ANSWER,
+            lambda proxy, form=form: limit_descriptors(proxy, form))
+        broken += await run_form(fleet, fleet.proxies[0], form)
+        fleet.end()
+    return broken
+
+
 async def case(make):
     def make_limited(zones):
         fleet = make(zones)
         for proxy, form in zip(fleet.proxies, FORMS):
-            limit = f'ulimit -n {form.descriptors}; exec "$@"'
-            proxy.command = ["sh", "-c", limit, "sh", *fleet.command]
+            limit_descriptors(proxy, form)
         return fleet
 
     fleet = await crowd.start_nodes(make_limited, len(FORMS), MEMORY_MB,
@@ -93,6 +110,7 @@
     broken = [await run_form(fleet, proxy, form)
               for proxy, form in zip(fleet.proxies, FORMS)]
     beats.cancel()
+    broken.append(await run_on_own(fleet))
     return any(broken)
 
 
--- a/tests/proxy/upstream_status_test.cc
+++ b/tests/proxy/upstream_status_test.cc
@@ -35,12 +35,14 @@
   host upstream;
   upstream.address = "127.0.0.1";
   upstream.port = acceptor.local_endpoint().port();
-  upstream_link link(context.get_executor(), upstream);
+  const auto memory = std::make_shared<memory_budget>(
+      LimitsFor(uint64_t{112} << 20, uint64_t{14} << 20));
+  upstream_link link(context.get_executor(), upstream, memory);
   std::optional<attempt_result> result;
   asio::co_spawn(
       context,
       [&]() -> awaitable<void> {
-        http_request request(boost::beast::http::verb::get, "/", 11);
+        block_request request(boost::beast::http::verb::get, "/", 11);
         result = co_await link.Send(request, millis(500));
       },
       asio::detached);
