An answer that is dropped at its end does not break the next exchange

Cause: another strand may end an answer between its last read and its completion. Change: Complete() says whether the holder was ended before; the connection or link is then not kept.

--- a/memory/memory_budget.cc
+++ b/memory/memory_budget.cc
@@ -243,12 +243,13 @@
   }
 }
 
-void memory_reservation::Complete() {
+bool memory_reservation::Complete() {
   std::function<void()> unused_end;
   const std::lock_guard lock(budget_->mutex_);
   budget_->SetExpected(*this, 0);
   budget_->RemoveIncomplete(*this);
   unused_end.swap(end_);
+  return !is_ended_;
 }
 
 }  // namespace peridotarch
--- a/memory/memory_budget.h
+++ b/memory/memory_budget.h
@@ -126,8 +126,9 @@
   void Expect(uint64_t bytes);
   /// Records that bytes of the other side have arrived.
   void NoteProgress(uint64_t bytes, millis now);
-  /// The holder is whole, and is not ended any more.
-  void Complete();
+  /// The holder is whole, and is not ended any more. Returns false if it was
+  /// ended before.
+  bool Complete();
   [[nodiscard]] bool is_ended() const { return is_ended_; }
   [[nodiscard]] uint64_t bytes() const;
   [[nodiscard]] memory_kind kind() const { return kind_; }
--- a/proxy/peer.cc
+++ b/proxy/peer.cc
@@ -56,7 +56,9 @@
       }
       answer.erase(kInnerAnswerHeader);
     }
-    memory->Complete();
+    if (!memory->Complete()) {
+      co_return Refusal(reason::kOwnerLost);
+    }
     call_result result = FromReply(std::move(answer));
     result.answer_memory = std::move(memory);
     co_return result;
@@ -90,7 +92,11 @@
       Exchange(used, std::move(call), std::move(request), ReserveAnswer(used));
   call_result result = co_await asio::co_spawn(used->on, std::move(exchange),
                                                asio::use_awaitable);
-  PutBack(std::move(used));
+  // The function that ends a dropped answer may still be on its way to the
+  // link.
+  if (result.why != reason::kOwnerLost) {
+    PutBack(std::move(used));
+  }
   co_return result;
 }
 
--- a/proxy/upstream_link.cc
+++ b/proxy/upstream_link.cc
@@ -136,15 +136,15 @@
     failure = co_await ReadAnswerBody(used->stream, used->buffer, *parser,
                                       *memory, until);
   }
-  result.memory_short = memory->is_ended();
-  if (failure) {
-    result.end.ended = EndingOf(failure);
+  // A connection whose answer was dropped is about to be closed.
+  result.memory_short = !memory->Complete();
+  if (failure || result.memory_short) {
+    result.end.ended = failure ? EndingOf(failure) : attempt_end_cause::kReset;
     co_return result;
   }
   result.end.read = read_progress::kWhole;
   result.end.ended = attempt_end_cause::kAnswered;
   result.answer = parser->release();
-  memory->Complete();
   result.answer_memory = std::move(memory);
   result.end.shed = result.answer.count(kNotStartedHeader) != 0 &&
                     result.answer.result() == http::status::service_unavailable;
