--- a/review/10/case.py
+++ b/review/10/case.py
@@ -25,7 +25,7 @@
     def __init__(self, store):
         self.store = store
         self.is_silent = False
-        self.waiting_since = None  # a read of the configuration waits
+        self.waiting_since = None  # when a read of the configuration began
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -40,16 +40,13 @@
                              self.pass_on(upstream[0], writer, False))
 
     async def pass_on(self, reader, writer, is_call):
-        waits = False
         try:
             while data := await reader.read(65536):
                 if self.is_silent:
                     continue
-                if is_call:
-                    waits = (b"log-read" in data and b"keyed.op" in data
-                             and b"wait_ms" in data)
-                    self.waiting_since = (time.monotonic() if waits
-                                          else self.waiting_since)
+                if is_call and all(part in data for part in
+                                   (b"log-read", b"keyed.op", b"wait_ms")):
+                    self.waiting_since = time.monotonic()
                 writer.write(data)
                 await writer.drain()
         except OSError:
@@ -59,6 +56,7 @@
 
 
 def give_own_path(proxy, path):
+    """Has the machine's settings name its path as the store."""
     write_settings = proxy.write_settings
 
     def write(first_start):
