A reader of the store says so only while its reads are answered

Cause: a node that reads the store for others said that it did until a read had failed. A read waited 3 s for a change and failed 0.7 s after that, so a reader without answers was relied on for 3.7 s. A node that had left the reads to others went on to say that it read. A reader that was refused told so with its next heartbeat, up to 1 s later. Ruled out: the other nodes' choice of readers (they followed what they were told), reads at peers, the turns in which nodes read there.

Change: balance/read_schedule bounds a read: it waits 0.6 s at most, less the pause before it, and is overdue 0.35 s later; the answers of a slow store arrive within that. A node says that it reads only while its last read of both topics has succeeded, none is overdue, and it is its turn to read; it tells a change of that at once. A read that is refused while it waits is repeated once, on a new connection, before the node takes its word back. The others take over in groups of four by rank, 0.1 s apart (balance/reader_choice), instead of all nodes of a zone at their next look; takeovers are counted (store_takeovers_total) and logged. A reader's first failure no longer counts as an outage of the store, which would hold back removals.

Why it works: whatever a node knows through a reader is at most 0.95 s older than what the reader could read; about 0.5 s of the bound is left for the takeover, the read and the way through the zones.

--- a/balance/load_change.h
+++ b/balance/load_change.h
@@ -16,6 +16,7 @@
   kInstanceSheds,   ///< The instance sheds load.
   kHealthEvidence,  ///< The instance may have turned gray or recovered.
   kRecordsChanged,  ///< The store's records have changed.
+  kReaderChanged,   ///< This node has begun or ceased to read the store.
   kRetryTaken,      ///< A retry was taken from the fleet's budget.
   kCaughtUp,        ///< This node has read changed records at a peer.
 };
--- a/balance/reader_choice.h
+++ b/balance/reader_choice.h
@@ -2,6 +2,7 @@
 #define BALANCE_READER_CHOICE_H_
 
 #include <cstdint>
+#include <optional>
 #include <span>
 
 #include "core/millis.h"
@@ -12,7 +13,7 @@
 struct reader_candidate {
   uint64_t rank = 0;         ///< Fixed for each node; the lowest ranks read.
   bool same_zone = false;    ///< In the zone of this node.
-  bool reads_store = false;  ///< Its last read succeeded.
+  bool reads_store = false;  ///< It reads the store for others.
   bool has_records = false;  ///< It knows a configuration and instances.
   millis heard_at;           ///< Time of its last report.
 };
@@ -32,6 +33,21 @@
                           std::span<const reader_candidate> others,
                           bool is_first_start, millis now);
 
+/// When this node reads the store for its zone. A few nodes take over from a
+/// reader that is lost; more follow if none of them can read either.
+class reader_duty {
+ public:
+  /// Returns since when, or from when on, this node should read the store, or
+  /// nullopt if enough others do. Must be called whenever readers may have been
+  /// lost, as the delay counts from the first call that finds too few.
+  std::optional<millis> DueAt(uint64_t own_rank,
+                              std::span<const reader_candidate> others,
+                              millis now);
+
+ private:
+  std::optional<millis> missing_since_;
+};
+
 }  // namespace peridotarch
 
 #endif  // BALANCE_READER_CHOICE_H_
--- a/front/front_node.h
+++ b/front/front_node.h
@@ -79,7 +79,9 @@
   };
   /// Returns whether this node reads the store itself.
   std::function<bool()> must_read_store = [] { return true; };
-  /// The same for a node that has no records yet.
+  /// Called when this node may have to read the store from now on.
+  std::function<void()> on_takeover_due = [] {};
+  /// Like must_read_store, for a node that has no records yet.
   std::function<bool()> must_read_store_first = [] { return true; };
   /// Offset in the instances topic up to which this node knows the entries.
   record_offset instances_offset;
@@ -89,7 +91,8 @@
   /// Records that this node has read from the store or from a peer.
   store_mirror mirror;
   int record_reads_served = 0;  ///< Reads of the mirror in progress.
-  /// The last read of the store that the node made as a reader succeeded.
+  /// This node reads the store for others: its last read of each topic has
+  /// succeeded, and none is overdue.
   bool reads_store = false;
   /// Nodes of the fleet with a recent report, including this one.
   int live_nodes = 1;
--- a/front/peer_reporter.cc
+++ b/front/peer_reporter.cc
@@ -50,6 +50,7 @@
       other_zones_report_{guarded_timer(node_->context.get_executor())},
       whole_zone_report_{guarded_timer(node_->context.get_executor())},
       relayed_reports_{guarded_timer(node_->context.get_executor())},
+      takeover_timer_(node_->context.get_executor()),
       zone_(ZoneKeyOf(node_->settings.zone)),
       own_relay_key_(RelayKeyOf(socket_.local_endpoint())) {
   socket_.non_blocking(true);
@@ -277,6 +278,7 @@
   const millis now = boot_clock::Now();
   peer_state& state = FindOrAddPeer(*reporter);
   const bool was_silent = !IsLive(state, now);
+  const bool was_reader = state.reads_store && !state.leaving;
   state.heard_at = now;
   state.zone = report.zone;
   state.leaving = report.leaving;
@@ -293,6 +295,9 @@
     Greet(*reporter);
   }
   CompareRecords(name, report);
+  if (was_reader && (!state.reads_store || state.leaving)) {
+    OnReaderLost();
+  }
 }
 
 }  // namespace peridotarch
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -127,7 +127,9 @@
   [[nodiscard]] std::optional<std::string> FindLivePeer() const;
   [[nodiscard]] int CountKnownNodes() const;
   [[nodiscard]] int RankInZone() const;
-  [[nodiscard]] bool MustReadStore() const;
+  [[nodiscard]] bool MustReadStore();
+  /// A node no longer reads the store.
+  void OnReaderLost();
   [[nodiscard]] bool MustReadStoreFirst() const;
   [[nodiscard]] std::vector<reader_candidate> ReaderCandidates() const;
 
@@ -137,6 +139,8 @@
   delayed_report other_zones_report_;
   delayed_report whole_zone_report_;
   delayed_report relayed_reports_;
+  reader_duty duty_;
+  guarded_timer takeover_timer_;
   std::vector<std::string> to_relay_;  ///< To be sent by relayed_reports_.
   const uint16_t zone_;
   const uint32_t own_relay_key_;
--- a/front/peer_reporter_records.cc
+++ b/front/peer_reporter_records.cc
@@ -1,4 +1,6 @@
 // What the reports say of the store's records and of those who read them.
+#include <algorithm>
+
 #include "core/record_position.h"
 #include "front/peer_reporter.h"
 
@@ -65,8 +67,21 @@
   return others;
 }
 
-bool peer_reporter::MustReadStore() const {
-  return ShouldReadStore(own_relay_key_, ReaderCandidates(), boot_clock::Now());
+bool peer_reporter::MustReadStore() {
+  const millis now = boot_clock::Now();
+  const std::optional<millis> due_at =
+      duty_.DueAt(own_relay_key_, ReaderCandidates(), now);
+  return due_at && *due_at <= now;
+}
+
+void peer_reporter::OnReaderLost() {
+  const millis now = boot_clock::Now();
+  const std::optional<millis> due_at =
+      duty_.DueAt(own_relay_key_, ReaderCandidates(), now);
+  if (due_at) {
+    takeover_timer_.Start(std::max(*due_at - now, millis(0)),
+                          [this] { node_->on_takeover_due(); });
+  }
 }
 
 bool peer_reporter::MustReadStoreFirst() const {
--- a/front/peer_reporter_send.cc
+++ b/front/peer_reporter_send.cc
@@ -38,6 +38,7 @@
 void peer_reporter::OnLoadChange(load_change change, instance_key key) {
   switch (change) {
     case load_change::kRecordsChanged:
+    case load_change::kReaderChanged:
       Send(recipients::kZone, report_content::kWithUsage);
       SendToRelays(report_content::kWithUsage);
       return;
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -15,16 +15,12 @@
 
 namespace {
 
-// The configuration changes seldom, so a read waits for the next change. A dead
-// connection is noticed after kConfigWait plus kStoreCallTimeout.
-constexpr millis kConfigWait(3'000);
-// A read proves that the configuration was the newest when it began. Where keys
-// may be withdrawn, it ends sooner.
-constexpr millis kConfigWaitForProof(800);
-// Entries change when an instance starts, leaves or begins to drain. The pause
-// between reads batches the changes of a release into few calls; a leaving
-// instance is still noticed well within 2 s.
-constexpr millis kInstancesWait(3'000);
+// A read waits for the next change; the schedule bounds the wait.
+constexpr millis kReadWait(3'000);
+// Instances renew their entries all the time. The pause between reads batches
+// the records into few calls; a leaving instance is still noticed well within
+// 2 s.
+constexpr millis kConfigPause(0);
 constexpr millis kInstancesPause(500);
 // Applies while removals of entries are pending.
 constexpr millis kPendingRemovalWait(200);
@@ -43,14 +39,12 @@
 constexpr millis kMaxFirstListTime(4'000);
 constexpr millis kMaxFirstPeerWait(1'200);
 
-constexpr std::string_view kSourceStore = "store";
-
 }  // namespace
 
 store_watch::store_watch(std::shared_ptr<front_node> node)
     : node_(std::move(node)),
-      config_(*node_, kConfigTopic),
-      instances_(*node_, kInstanceTopic),
+      config_(*node_, kConfigTopic, kConfigPause),
+      instances_(*node_, kInstanceTopic, kInstancesPause),
       node_client_(node_->context.get_executor(),
                    {node_->settings.store.host, node_->settings.store.port},
                    record_server::kStore) {}
@@ -65,27 +59,23 @@
 
 void store_watch::Start(std::function<void(const host_port&)> on_peer) {
   on_peer_ = std::move(on_peer);
+  node_->on_takeover_due = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->WakeReaders();
+    }
+  };
   Spawn([](store_watch& watch) { return watch.Follow(watch.config_); });
   Spawn([](store_watch& watch) { return watch.Follow(watch.instances_); });
   Spawn([](store_watch& watch) { return watch.Announce(); });
 }
 
-// A read that a node makes because its peers are late tells nothing of an
-// outage: it may fail because many nodes make it at once.
-void store_watch::NoteStoreCall(bool reached, bool as_reader,
-                                std::string_view call,
+void store_watch::NoteStoreCall(bool reached, std::string_view call,
                                 const std::string& detail) {
   node_->counters
       .Counter(
           "store_calls_total", "Calls to the store by result.",
           {{"call", std::string(call)}, {"result", reached ? "ok" : "failed"}})
       .Add();
-  if (!reached && as_reader) {
-    list_.NoteStoreUnreachable();
-  }
-  if (as_reader) {
-    node_->reads_store = reached;
-  }
   if (reached != store_reached_) {
     store_reached_ = reached;
     node_->log.Write(reached ? "store_reached" : "store_lost",
@@ -123,23 +113,24 @@
 // if the changes do not fit into a short answer.
 awaitable<void> store_watch::ReadStore(followed_topic& topic) {
   const millis began_at = boot_clock::Now();
+  const read_times times = topic.schedule.Begin(MaxReadWait(topic), began_at);
   keyed_page page;
   bool reads_newest = !topic.next_offset || topic.lag.BehindSince();
   if (!reads_newest) {
-    // A read that waits does not show whether the store is reachable. The first
-    // read after a failure therefore does not wait.
-    const millis wait = topic.read_waits ? ReadWait(topic) : millis(0);
-    page = co_await topic.client.Read(topic.name, *topic.next_offset, wait,
-                                      wait + kStoreCallTimeout);
+    page = co_await topic.client.Read(topic.name, *topic.next_offset,
+                                      times.wait, times.timeout);
     reads_newest = page.forgotten || page.has_more;
   }
   if (page.forgotten) {
     topic.next_offset.reset();
   }
   if (reads_newest) {
-    page = co_await topic.client.Newest(topic.name, kStoreCallTimeout);
+    page = co_await topic.client.Newest(topic.name, times.timeout - times.wait);
   }
-  if (Apply(topic, page, kSourceStore)) {
+  const bool has_changed = Apply(topic, page, kSourceStore);
+  topic.schedule.NoteAnswered(!page.records.empty());
+  UpdateReaderClaim();
+  if (has_changed) {
     AnnounceChange(topic);
   }
   if (IsConfig(topic)) {
@@ -291,11 +282,9 @@
   node_->on_load_change(load_change::kCaughtUp, 0);
 }
 
-millis store_watch::ReadWait(const followed_topic& topic) const {
-  if (IsConfig(topic)) {
-    return node_->freshness.is_required() ? kConfigWaitForProof : kConfigWait;
-  }
-  return list_.HasPendingRemovals() ? kPendingRemovalWait : kInstancesWait;
+millis store_watch::MaxReadWait(const followed_topic& topic) const {
+  return !IsConfig(topic) && list_.HasPendingRemovals() ? kPendingRemovalWait
+                                                        : kReadWait;
 }
 
 millis store_watch::PauseAfterRead(const followed_topic& topic,
@@ -312,40 +301,54 @@
     // Many nodes may be late at the same moment.
     return IsReader() ? kStoreRetryDelay : node_->Jitter(kStoreRetryDelay);
   }
-  return IsConfig(topic) ? millis(0) : kInstancesPause;
+  return topic.schedule.PauseAfterAnswer();
+}
+
+// A read that a node makes because its peers are late tells nothing of an
+// outage: it may fail because many nodes make it at once. Nor does the first
+// failure of a reader, after which it asks again.
+awaitable<millis> store_watch::EndRead(followed_topic& topic, bool as_reader,
+                                       const std::string& failed) {
+  const bool reached = failed.empty();
+  topic.reached = reached || !as_reader;
+  NoteStoreCall(reached, IsConfig(topic) ? "config" : "instances", failed);
+  if (!reached) {
+    const bool asks_again = topic.schedule.NoteFailed(boot_clock::Now());
+    UpdateReaderClaim();
+    if (asks_again) {
+      co_return millis(0);
+    }
+    if (as_reader) {
+      list_.NoteStoreUnreachable();
+    }
+    const endpoint peer = NextMirror();
+    co_await ReadFromPeer(topic, peer);
+  }
+  if (!IsConfig(topic) && PublishInstances(kSourceStore)) {
+    AnnounceChange(topic);
+  }
+  co_return PauseAfterRead(topic, reached);
 }
 
 awaitable<void> store_watch::Follow(followed_topic& topic) {
   const asio::any_io_executor executor = node_->context.get_executor();
   for (;;) {
     if (DelegatesReads(topic)) {
-      topic.read_waits = false;
-      if (!IsConfig(topic)) {
-        PublishInstances(kSourceStore);  // removals that were pending
-      }
-      co_await Sleep(executor, DelegationPollInterval(topic));
+      co_await WaitForDuty(topic);
       continue;
     }
     const bool as_reader = IsReader();
+    if (as_reader) {
+      NoteTakeover();
+    }
     std::string failed;
     try {
       co_await ReadStore(topic);
     } catch (const platform_error& failure) {
       failed = failure.what();
     }
-    const bool reached = failed.empty();
-    topic.reached = reached || !as_reader;
-    topic.read_waits = reached;
-    NoteStoreCall(reached, as_reader, IsConfig(topic) ? "config" : "instances",
-                  failed);
-    if (!reached) {
-      const endpoint peer = NextMirror();
-      co_await ReadFromPeer(topic, peer);
-    }
-    if (!IsConfig(topic) && PublishInstances(kSourceStore)) {
-      AnnounceChange(topic);
-    }
-    co_await Sleep(executor, PauseAfterRead(topic, reached));
+    const millis pause = co_await EndRead(topic, as_reader, failed);
+    co_await Sleep(executor, pause);
   }
 }
 
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -41,7 +41,13 @@
   awaitable<void> WaitForTurn(followed_topic& topic);
   awaitable<void> ReadFromPeer(followed_topic& topic, const endpoint& remote);
   awaitable<void> ReadStore(followed_topic& topic);
-  [[nodiscard]] millis ReadWait(const followed_topic& topic) const;
+  [[nodiscard]] millis MaxReadWait(const followed_topic& topic) const;
+  /// Handles the end of a read of the store. Returns the pause before the next.
+  awaitable<millis> EndRead(followed_topic& topic, bool as_reader,
+                            const std::string& failed);
+  /// Waits until this node may have to read the store.
+  awaitable<void> WaitForDuty(followed_topic& topic);
+  void WakeReaders();
   [[nodiscard]] endpoint NextMirror();
   [[nodiscard]] bool IsConfig(const followed_topic& topic) const {
     return &topic == &config_;
@@ -64,6 +70,11 @@
   void AnnounceChange(const followed_topic& topic);
   /// Tells some nodes that this one has the records up to `position`.
   void NoteCaughtUp(const followed_topic& topic, topic_position position);
+  /// Tells all nodes whether this one reads the store for others, if that has
+  /// changed.
+  void UpdateReaderClaim();
+  /// Counts and logs that this node begins to read the store for others.
+  void NoteTakeover();
   [[nodiscard]] bool DelegatesReads(const followed_topic& topic) const;
   /// Returns whether this node reads the store for others or after an outage,
   /// and not only because it is late.
@@ -78,7 +89,7 @@
       const followed_topic& topic) const;
   [[nodiscard]] millis PauseAfterRead(const followed_topic& topic,
                                       bool reached) const;
-  void NoteStoreCall(bool reached, bool as_reader, std::string_view call,
+  void NoteStoreCall(bool reached, std::string_view call,
                      const std::string& detail);
 
   const std::shared_ptr<front_node> node_;
@@ -86,7 +97,8 @@
   followed_topic instances_;
   store_client node_client_;
   instance_list list_;
-  bool store_reached_ = true;  ///< The last call to the store succeeded.
+  bool store_reached_ = true;   ///< The last call to the store succeeded.
+  bool is_delegating_ = false;  ///< This node leaves the reads to others.
   size_t next_seed_ = 0;
   /// When the other nodes were read from the store.
   std::optional<millis> nodes_listed_at_;
--- a/tests/balance/reader_choice_test.cc
+++ b/tests/balance/reader_choice_test.cc
@@ -90,5 +90,39 @@
   }
 }
 
+// All nodes of a zone began to read at the same moment.
+TEST_CASE("readers are lost: nodes take over in groups by their ranks") {
+  auto others = Zone(40);
+  for (reader_candidate& other : others) {
+    other.reads_store = false;
+  }
+  reader_duty first;
+  CHECK(first.DueAt(0, others, kNow) == kNow);
+  reader_duty fifth;
+  const auto due_at = fifth.DueAt(5, others, kNow);
+  REQUIRE(due_at);
+  CHECK(*due_at > kNow);
+  CHECK(fifth.DueAt(5, others, kNow + millis(50)) == due_at);
+  reader_duty last;
+  const auto last_due_at = last.DueAt(50, others, kNow);
+  REQUIRE(last_due_at);
+  CHECK(*last_due_at > *due_at);
+  CHECK(*last_due_at <= kNow + millis(300));
+  SECTION("a reader is found") {
+    others[0].reads_store = true;
+    others[1].reads_store = true;
+    CHECK_FALSE(fifth.DueAt(5, others, kNow + millis(60)));
+    others[0].reads_store = false;
+    CHECK(*fifth.DueAt(5, others, kNow + millis(70)) > kNow + millis(70));
+  }
+  SECTION("the nodes of lower ranks are silent") {
+    for (reader_candidate& other : others) {
+      other.heard_at = kNow - millis(1'400);
+    }
+    reader_duty alone;
+    CHECK(alone.DueAt(50, others, kNow) == kNow);
+  }
+}
+
 }  // namespace
 }  // namespace peridotarch
--- a/tests/front/store_test.cc
+++ b/tests/front/store_test.cc
@@ -148,6 +148,72 @@
   CHECK(reads[3].find("wait_ms") != std::string::npos);
 }
 
+// Other nodes relied for 3.7 s on a reader that the store no longer answered,
+// and used an old service meanwhile (review/10).
+TEST_CASE("the store falls silent: a reader soon tells that it cannot read") {
+  front_world world;
+  bool is_silent = false;
+  raw_server store(world.context, [&](const http_request& request) {
+    // A head that is never complete.
+    return is_silent ? "HTTP/1.1 200 OK\r\n" : AnswerAsStore(request);
+  });
+  const auto node = MakeNode(world.context, store.port(), 1);
+  node->live_nodes = 2;  // it does not turn to a seed
+  std::vector<bool> told;
+  node->on_load_change = [&](load_change change, instance_key /*key*/) {
+    if (change == load_change::kReaderChanged) {
+      told.push_back(node->reads_store);
+    }
+  };
+  const auto watch = std::make_shared<store_watch>(node);
+  watch->Start([](const host_port&) {});
+  world.RunUntil([&node] { return node->reads_store; });
+  REQUIRE(node->reads_store);
+  CHECK(told == std::vector<bool>{true});
+  is_silent = true;
+  // Half a second of the bound is left for another node.
+  world.RunUntil([&node] { return !node->reads_store; }, millis(1'500));
+  CHECK_FALSE(node->reads_store);
+  CHECK(told == std::vector<bool>{true, false});
+}
+
+// It went on to say that it read, and would have been relied on again.
+TEST_CASE("a node that others read for no longer tells that it reads") {
+  front_world world;
+  raw_server store(world.context, AnswerAsStore);
+  const auto node = MakeNode(world.context, store.port(), 1);
+  const auto watch = std::make_shared<store_watch>(node);
+  watch->Start([](const host_port&) {});
+  world.RunUntil([&node] { return node->reads_store; });
+  REQUIRE(node->reads_store);
+  node->must_read_store = [] { return false; };
+  world.RunUntil([&node] { return !node->reads_store; });
+  CHECK_FALSE(node->reads_store);
+}
+
+TEST_CASE("a node takes over at once when it is told that it must") {
+  front_world world;
+  int reads = 0;
+  raw_server store(world.context, [&reads](const http_request& request) {
+    reads += request.target().find("log-read") != std::string_view::npos;
+    return AnswerAsStore(request);
+  });
+  const auto node = MakeNode(world.context, store.port(), 1);
+  const auto watch = std::make_shared<store_watch>(node);
+  watch->Start([](const host_port&) {});
+  world.RunUntil([&node] { return node->reads_store; });
+  node->must_read_store = [] { return false; };
+  world.RunUntil([&node] { return !node->reads_store; });
+  world.RunUntil([] { return false; }, millis(700));
+  reads = 0;
+  node->must_read_store = [] { return true; };
+  node->on_takeover_due();
+  const millis told_at = boot_clock::Now();
+  world.RunUntil([&reads] { return reads >= 2; });
+  CHECK(reads >= 2);
+  CHECK(boot_clock::Now() - told_at < millis(100));
+}
+
 TEST_CASE("a newer configuration of a peer is applied, an older one is not") {
   front_world world;
   raw_server store(world.context,
--- a/tests/process/proxies.py
+++ b/tests/process/proxies.py
@@ -23,6 +23,7 @@
         self.ports = fleet.ports
         self.command = fleet.command
         self.restarts = False
+        self.store_port = None  # of a path of its own to the store
 
     def write_settings(self, first_start):
         fleet = self.fleet
@@ -31,7 +32,8 @@
             "listen.front": f"{self.ip}:{self.ports[0]}",
             "listen.ready": f"{self.ip}:{self.ports[1]}",
             "listen.control": f"{self.ip}:{self.ports[2]}",
-            "provider.address": f"127.0.0.1:{fleet.store.port}",
+            "provider.address":
+                f"127.0.0.1:{self.store_port or fleet.store.port}",
             "seeds": ",".join(f"{proxy.ip}:{self.ports[2]}"
                               for proxy in fleet.proxies[:3]),
             "internal_ports": f"{self.ports[3]},{self.ports[3] + 1}",
