An empty list of teams lets no key in

Cause: a list that is empty and one that is missing were the same value, a vector without elements, from the record of the store on. team_directory and team_access took it for "no teams are configured, so requests need no key". Ruled out: a late or refused version (config_in_force was logged at once), and the freshness of the configuration (requests ran on nodes with proofs).

Change: fleet_config::teams is optional. None means that requests need no key; an empty list that no key is valid: 401 on all routes but open ones, which lose the caller's key and team. The same cause on related paths:

* A node that refused a newer version (a field that is null or of another type) went on to take its older one for the newest: keys that the refused version may have withdrawn ran on with strict revocation.
Its reads now give no proof until a version can be read; requests with keys end after revoke_s.
* On an open route, a node whose configuration is outdated named the team that had held the key before.
It now names none.

Looked at without a fault, with tests: null, wrong types and missing parts of teams, keys, routes, splits, services and limits (the version is refused as a whole, nothing is switched off). Nodes pass the version on as the operator's text, so an empty list stays one at a start and between two builds. On the product's own interface no list of keys exists; a missing fleet key is refused at the start.

The tests of teams, platform and front failed to hold before the change of each part: the empty list was read as none, and the refused version gave new proofs. The checks of team_directory::empty() are now checks of requires_keys(), for a missing and for an empty list.

--- a/balance/fleet_config.h
+++ b/balance/fleet_config.h
@@ -2,6 +2,7 @@
 #define BALANCE_FLEET_CONFIG_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,7 +52,8 @@
   config_version version;
   std::vector<host_route> routes;
   std::vector<fleet_service> services;
-  std::vector<team> teams;  ///< Empty: requests need no key.
+  /// None: requests need no key. Empty: no key is valid.
+  std::optional<std::vector<team>> teams;
   caller_limits limits;
   admission_mode admission = admission_mode::kPriority;
 };
--- a/front/front_node.cc
+++ b/front/front_node.cc
@@ -81,7 +81,7 @@
 
 bool front_node::CanServeTeams() const {
   const auto in_force = routes.Load();
-  return !in_force || in_force->teams().empty() ||
+  return !in_force || !in_force->teams().requires_keys() ||
          freshness.IsFresh(boot_clock::Now());
 }
 
--- a/front/store_watch.cc
+++ b/front/store_watch.cc
@@ -134,7 +134,7 @@
     AnnounceChange(topic);
   }
   if (IsConfig(topic)) {
-    if (!node_->IsBehindPeers()) {
+    if (!node_->IsBehindPeers() && !is_newest_refused_) {
       node_->freshness.NoteProof(began_at, node_->ConfigVersion(),
                                  node_->ConfigVersion());
     }
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -102,7 +102,9 @@
   size_t next_seed_ = 0;
   /// When the other nodes were read from the store.
   std::optional<millis> nodes_listed_at_;
-  std::string config_text_;             ///< The record of the version in force.
+  std::string config_text_;  ///< The record of the version in force.
+  /// A newer version can't be read, so none is known to be the newest.
+  bool is_newest_refused_ = false;
   std::optional<millis> announced_at_;  ///< When the own record was written.
   std::function<void(const host_port&)> on_peer_;
 };
--- a/front/store_watch_config.cc
+++ b/front/store_watch_config.cc
@@ -1,6 +1,7 @@
 // Which configuration is in force, and which one peers get from this node.
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <span>
 #include <utility>
 
 #include "core/error.h"
@@ -18,6 +19,7 @@
     return false;
   }
   std::optional<fleet_config> newest;
+  bool is_refused = false;
   // Only the newest version that can be read matters.
   auto record = page.records.rbegin();
   for (; record != page.records.rend(); ++record) {
@@ -28,10 +30,14 @@
       newest = DecodeConfig(*record->value);
       break;
     } catch (const codec_error& failure) {
+      is_refused = true;
       node_->log.Write("config_refused", {{"error", failure.what()}});
     }
   }
   const bool changed = newest && PutConfigInForce(std::move(*newest), source);
+  if (is_refused || changed) {
+    is_newest_refused_ = is_refused;
+  }
   if (changed) {
     config_text_ = *record->value;
   }
@@ -58,7 +64,8 @@
                 "");
   node_->routes.Store(std::make_shared<const route_index>(std::move(config)));
   node_->freshness.NoteVersion(version);
-  node_->limits.SetTeams(node_->routes.Load()->config().teams,
+  const auto& teams = node_->routes.Load()->config().teams;
+  node_->limits.SetTeams(teams ? std::span(*teams) : std::span<const team>(),
                          boot_clock::Now());
   node_->log.Write(
       "config_in_force",
--- a/front/team_access.cc
+++ b/front/team_access.cc
@@ -5,7 +5,7 @@
 namespace peridotarch {
 
 // A route that is open needs no key. If the caller has one all the same, the
-// instance learns its team.
+// instance learns its team, unless the key may belong to another one by now.
 std::optional<reason> team_access::Identify(
     std::shared_ptr<const route_index> routes, const host_route& route,
     std::string_view key) {
@@ -13,12 +13,12 @@
   priority_ = route.priority;
   is_open_ = route.is_open;
   const team_directory& teams = routes_->teams();
-  if (teams.empty()) {
+  if (!teams.requires_keys()) {
     return std::nullopt;
   }
   // A newer configuration may have withdrawn a key, or have added one.
-  if (!is_open_ && !node_.freshness.IsFresh(boot_clock::Now())) {
-    return reason::kConfigOutdated;
+  if (!node_.freshness.IsFresh(boot_clock::Now())) {
+    return is_open_ ? std::nullopt : std::optional(reason::kConfigOutdated);
   }
   team_ = teams.FindByKey(key);
   if (team_ == nullptr) {
@@ -49,7 +49,7 @@
 }
 
 std::optional<std::string_view> team_access::Name() const {
-  if (routes_->teams().empty()) {
+  if (!routes_->teams().requires_keys()) {
     return std::nullopt;
   }
   std::string_view name;
--- a/teams/team_directory.cc
+++ b/teams/team_directory.cc
@@ -4,9 +4,12 @@
 
 namespace peridotarch {
 
-team_directory::team_directory(std::span<const team> teams)
-    : is_empty_(teams.empty()) {
-  for (const team& one : teams) {
+team_directory::team_directory(const std::optional<std::vector<team>>& teams)
+    : requires_keys_(teams.has_value()) {
+  if (!teams) {
+    return;
+  }
+  for (const team& one : *teams) {
     for (const digest& key : one.keys) {
       by_key_.emplace(key, &one);
     }
--- a/teams/team_directory.h
+++ b/teams/team_directory.h
@@ -2,9 +2,10 @@
 #define TEAMS_TEAM_DIRECTORY_H_
 
 #include <cstddef>
-#include <span>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "teams/team.h"
 
@@ -13,14 +14,15 @@
 /// Finds teams by the keys of their callers. Immutable.
 class team_directory {
  public:
-  /// Refers to `teams`, which must outlive the directory.
-  explicit team_directory(std::span<const team> teams);
+  /// Refers to `teams`, which must outlive the directory. Without teams
+  /// requests need no key; with an empty list no key is valid.
+  explicit team_directory(const std::optional<std::vector<team>>& teams);
 
   /// Returns the team that holds the key, or nullptr.
   [[nodiscard]] const team* FindByKey(std::string_view key) const;
 
-  /// Returns whether no team is configured, so that requests need no key.
-  [[nodiscard]] bool empty() const { return is_empty_; }
+  /// Returns whether requests on routes that are not open need a key.
+  [[nodiscard]] bool requires_keys() const { return requires_keys_; }
 
  private:
   struct digest_hash {
@@ -28,7 +30,7 @@
   };
 
   std::unordered_map<digest, const team*, digest_hash> by_key_;
-  bool is_empty_ = true;
+  const bool requires_keys_;
 };
 
 }  // namespace peridotarch
--- a/tests/front/freshness_test.cc
+++ b/tests/front/freshness_test.cc
@@ -36,7 +36,7 @@
 fleet_config ConfigWithTeam(uint64_t version) {
   fleet_config config;
   config.version = version;
-  config.teams.push_back({"red", {Sha256("key")}, {}, 0, 0});
+  config.teams = {{"red", {Sha256("key")}, {}, 0, 0}};
   return config;
 }
 
@@ -92,5 +92,25 @@
   CHECK(world.SendRequest(verb::put, "/box/1").result_int() == 401);
 }
 
+// A key that has another holder by now named the team that it had before.
+TEST_CASE("withdrawn keys: an outdated node names no team on an open route") {
+  node_settings settings;
+  settings.max_config_age = millis(5'000);
+  front_world world(settings);
+  std::vector<std::string> named;
+  world.AddTeam("red", "key");
+  world.AddOpenRoute("/open/");
+  world.AddInstance([&named](const http_request& request) {
+    named.emplace_back(request["X-Tenant"]);
+    return SoundAnswer(request);
+  });
+  world.caller_headers = {{"X-Api-Key", "key"}, {"X-Tenant", "blue"}};
+  CHECK(world.SendRequest(verb::put, "/open/1").result_int() == 200);
+  const config_version version = world.node->ConfigVersion();
+  world.node->freshness.NoteProof(boot_clock::Now(), version, version);
+  CHECK(world.SendRequest(verb::put, "/open/1").result_int() == 200);
+  CHECK(named == std::vector<std::string>{"", "red"});
+}
+
 }  // namespace
 }  // namespace peridotarch
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -155,7 +155,16 @@
     added.name = name;
     added.keys = {Sha256(key)};
     added.priority = priority;
-    config_.teams.push_back(added);
+    RequireKeys();
+    config_.teams->push_back(added);
+    PutConfigInForce();
+  }
+
+  /// The same without a team: no key is valid.
+  void RequireKeys() {
+    if (!config_.teams) {
+      config_.teams.emplace();
+    }
     PutConfigInForce();
   }
 
--- a/tests/front/store_test.cc
+++ b/tests/front/store_test.cc
@@ -148,6 +148,45 @@
   CHECK(reads[3].find("wait_ms") != std::string::npos);
 }
 
+// The node took the version in force for the newest one, so that keys which the
+// refused version may have withdrawn went on running.
+TEST_CASE("a version that can't be read proves no other to be the newest") {
+  for (const std::string teams : {"null", "[{}]", "[]"}) {
+    front_world world;
+    std::string config = kConfig;
+    raw_server store(world.context, [&config](const http_request& request) {
+      const std::string target(request.target());
+      if (target.find("keyed.op") == std::string::npos) {
+        return AnswerAsStore(request);
+      }
+      if (target.find("log-newest") != std::string::npos) {
+        return NewestAnswer("config", config);
+      }
+      std::string page(16, '\0');
+      page[7] = config == kConfig ? 7 : 100;  // the end of the topic
+      return OkAnswer(page);
+    });
+    node_settings settings = MakeNode(world.context, store.port(), 1)->settings;
+    settings.max_config_age = millis(5'000);
+    const auto node = std::make_shared<front_node>(world.context, settings, 1);
+    const auto watch = std::make_shared<store_watch>(node);
+    watch->Start([](const host_port&) {});
+    world.RunUntil([&node] { return node->Ready(); });
+    REQUIRE(node->Ready());
+    const std::string tail = R"(,"tenants":)" + teams + "}";
+    config = ConfigOf(5);
+    config.replace(config.rfind('}'), 1, tail);
+    world.RunUntil([] { return false; }, millis(300));
+    const millis proved_until = boot_clock::Now();
+    world.RunUntil([] { return false; }, millis(300));
+    const bool has_new_proof = *node->freshness.AgeAt(boot_clock::Now()) <
+                               boot_clock::Now() - proved_until;
+    CAPTURE(teams);
+    CHECK(has_new_proof == (teams == "[]"));
+    CHECK(node->ConfigVersion() == (teams == "[]" ? 5 : 4));
+  }
+}
+
 // Other nodes relied for 3.7 s on a reader that the store no longer answered,
 // and used an old service meanwhile (review/10).
 TEST_CASE("the store falls silent: a reader soon tells that it cannot read") {
--- a/tests/front/team_test.cc
+++ b/tests/front/team_test.cc
@@ -56,6 +56,32 @@
   }
 }
 
+// With an empty list of teams the check of keys was off, and instances got the
+// keys and the team that callers named (review/9).
+TEST_CASE("keys: with an empty list of teams no key is valid") {
+  front_world world;
+  std::vector<http_request> seen;
+  world.AddRoute("/box/", false);
+  world.AddOpenRoute("/open/");
+  world.AddInstance([&seen](const http_request& request) {
+    seen.push_back(request);
+    return SoundAnswer(request);
+  });
+  world.RequireKeys();
+  const std::vector<front_world::header> forged = {{"X-Api-Key", "red-key"},
+                                                   {"X-Tenant", "blue"}};
+  world.caller_headers = forged;
+  CHECK(world.SendRequest(verb::post, "/box/1").result_int() == 401);
+  world.caller_headers = {};
+  CHECK(world.SendRequest(verb::post, "/box/1").result_int() == 401);
+  CHECK(seen.empty());
+  world.caller_headers = forged;
+  CHECK(world.SendRequest(verb::post, "/open/1").result_int() == 200);
+  REQUIRE(seen.size() == 1);
+  CHECK(seen[0].count("X-Tenant") == 0);
+  CHECK(seen[0].count("X-Api-Key") == 0);
+}
+
 TEST_CASE("keys: an open route needs none, and a caller can't name a team") {
   team_world teams;
   CHECK(teams.StatusOf("/open/1", {{"X-Tenant", "blue"}}) == 200);
--- a/tests/platform/store_records_test.cc
+++ b/tests/platform/store_records_test.cc
@@ -77,16 +77,55 @@
       R"([{"name":"red","api_keys":["a1","a2"],"priority":3,"rate_per_s":2.5,
            "burst":7},
           {"name":"blue","api_keys":[]}])"));
-  REQUIRE(config.teams.size() == 2);
-  CHECK(config.teams[0].name == "red");
-  CHECK(config.teams[0].keys == std::vector{Sha256("a1"), Sha256("a2")});
-  CHECK(config.teams[0].priority == 3);
-  CHECK(config.teams[0].rate == 2.5);
-  CHECK(config.teams[0].burst == 7);
-  CHECK(config.teams[1].keys.empty());
-  CHECK_FALSE(config.teams[1].priority);
-  CHECK(config.teams[1].rate == 0);
-  CHECK(DecodeConfig(kConfig).teams.empty());
+  REQUIRE(config.teams);
+  const std::vector<team>& teams = *config.teams;
+  REQUIRE(teams.size() == 2);
+  CHECK(teams[0].name == "red");
+  CHECK(teams[0].keys == std::vector{Sha256("a1"), Sha256("a2")});
+  CHECK(teams[0].priority == 3);
+  CHECK(teams[0].rate == 2.5);
+  CHECK(teams[0].burst == 7);
+  CHECK(teams[1].keys.empty());
+  CHECK_FALSE(teams[1].priority);
+  CHECK(teams[1].rate == 0);
+  CHECK_FALSE(DecodeConfig(kConfig).teams);
+}
+
+// An empty list was read like a missing one, and any key was let in (review/9).
+TEST_CASE("an empty list of teams is not a missing one") {
+  const fleet_config config = DecodeConfig(WithTeams("[]"));
+  REQUIRE(config.teams);
+  CHECK(config.teams->empty());
+}
+
+TEST_CASE("a field that is null or of another type is not a missing one") {
+  for (const std::string teams :
+       {"null", "{}", "\"\"", "false", "0", "[null]", "[[]]",
+        R"([{"name":"red"}])", R"([{"name":"red","api_keys":null}])",
+        R"([{"name":"red","api_keys":{}}])", R"([{"api_keys":["a"]}])",
+        R"([{"name":"red","api_keys":["a"],"rate_per_s":null}])",
+        R"([{"name":"red","api_keys":["a"],"burst":null}])",
+        R"([{"name":"red","api_keys":["a"],"priority":null}])"}) {
+    CAPTURE(teams);
+    CHECK_THROWS_AS(DecodeConfig(WithTeams(teams)), codec_error);
+  }
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"priority\":1", "\"allow_anonymous\":null"},
+           {"\"priority\":1", "\"allow_anonymous\":\"\""},
+           {"\"priority\":1", "\"allow_anonymous\":1"},
+           {"\"service\":\"box\",\n  \"max", "\"service\":null,\n  \"max"},
+           {"\"service\":\"box\",\n  \"max", "\"service\":\"\",\n  \"max"},
+           {"\"traffic_split\":[", "\"traffic_split\":null,\"x\":["},
+           {"\"traffic_split\":[", "\"traffic_split\":[],\"x\":["},
+           {"\"max_connections\":330", "\"max_connections\":null"},
+           {"\"limits\":{", "\"limits\":null,\"x\":{"},
+           {"\"limits\":{", "\"limits\":{},\"x\":{"},
+           {"\"routes\":[", "\"routes\":null,\"x\":["},
+           {"\"services\":[", "\"services\":null,\"x\":["}}) {
+    CAPTURE(from, to);
+    CHECK_THROWS_AS(DecodeConfig(Replaced(kConfig, from, to)), codec_error);
+  }
 }
 
 // A refused version must name its entry, but keys must not reach the log.
