Reads of the store wait 0.9 s

The chain still fits the bound: 1.25 s until a reader without answers is noticed, at most 0.5 s for the rest.

--- a/balance/read_schedule.cc
+++ b/balance/read_schedule.cc
@@ -10,7 +10,7 @@
 // that rely on it have to know a change two seconds after the store has it. The
 // rest of that time is for another node to take over, to read, and to pass the
 // change on. After a pause the read waits only for what is left of the time.
-constexpr millis kMaxReadWait(600);
+constexpr millis kMaxReadWait(900);
 // Beyond the wait. The answers of a slow store still arrive within it.
 constexpr millis kMaxAnswerDelay(350);
 
