Answers to HEAD end with their heads

Cause: OwnAnswer makes the body for every method, and nobody left it out.

Change: RemoveBodyFor (platform/answer_framing) does at each place that answers a request: the callers' port, also for a request that is refused while its body is read, the ready, metrics and mirror ports, and the product's own callers' and inner ports. TRACE with a body threw when it was sent on and got 503 each time; it is a bad request now (400).

--- a/front/admin_service.cc
+++ b/front/admin_service.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "front/record_service.h"
+#include "platform/answer_framing.h"
 #include "proxy/http_session.h"
 
 namespace peridotarch {
@@ -87,6 +88,7 @@
       stays_open = co_await ServeRecords(*node_, session, *read.request);
     } else {
       http_response answer = AnswerAdminRequest(*node_, *read.request);
+      RemoveBodyFor(read.request->method(), answer);
       stays_open =
           co_await session.Write(std::move(answer), read.request->keep_alive());
     }
--- a/front/caller_session.cc
+++ b/front/caller_session.cc
@@ -8,6 +8,7 @@
 #include "core/narrow.h"
 #include "front/caller_request.h"
 #include "front/pipelined_request.h"
+#include "platform/answer_framing.h"
 #include "platform/call_wire.h"
 #include "proxy/spawn.h"
 
@@ -115,7 +116,7 @@
     if (read.request) {
       Enqueue(std::move(*read.request), read.arrived_at);
     } else if (read.refused) {
-      EnqueueRefusal(*read.refused);
+      EnqueueRefusal(*read.refused, read.method);
     } else {
       OnCallerLeft();
       co_return;
@@ -144,7 +145,8 @@
   StartRequests();
 }
 
-void caller_session::EnqueueRefusal(reason why) {
+void caller_session::EnqueueRefusal(reason why,
+                                    boost::beast::http::verb method) {
   const bool is_memory_short = why == reason::kMemoryShort;
   const millis retry_after =
       is_memory_short ? node_->Jitter(kMemoryRetryAfter) : millis(0);
@@ -161,12 +163,26 @@
   queue_.push_back(one);
   ++node_->in_flight;
   WriteReadyAnswers();
+  RemoveBodyFor(method, *one->answer);
 }
 
 std::shared_ptr<memory_reservation> caller_session::ReserveRequest() {
   return std::make_shared<memory_reservation>(
       node_->memory, memory_kind::kRequest, [this] { AbortRead(); },
       boot_clock::Now());
+// The client may send the body without being told to. Nothing is read
+// meanwhile, so the socket shows whether it has, or has left.
+awaitable<http_session::continue_step> caller_session::WaitToContinue() {
+  while (!queue_.empty() && reads_more_) {
+    if (!IsQuiet(session_.stream().socket().native_handle())) {
+      co_return http_session::continue_step::kOmit;
+    }
+    co_await Sleep(node_->context.get_executor(), kContinuePollInterval);
+  }
+  co_return reads_more_ ? http_session::continue_step::kWrite
+                        : http_session::continue_step::kStop;
+}
+
 }
 
 // Cancelling the operations of a stream would also break off the answer that is
@@ -220,6 +236,7 @@
 }
 
 void caller_session::WriteReadyAnswers() {
+  RemoveBodyFor(method, *one->answer);
   if (!is_writing_ && !queue_.empty() && queue_.front()->answer) {
     is_writing_ = true;
     SpawnLogged(node_->context, "answers",
--- a/front/caller_session.h
+++ b/front/caller_session.h
@@ -42,7 +42,7 @@
   awaitable<void> ReadRequests();
   awaitable<void> WaitForRoom();
   void Enqueue(block_request request, millis arrived_at);
-  void EnqueueRefusal(reason why);
+  void EnqueueRefusal(reason why, boost::beast::http::verb method);
   /// Returns the part of the next request in the node's memory.
   std::shared_ptr<memory_reservation> ReserveRequest();
   /// Ends the read of a request for which there is no memory.
--- a/front/record_service.cc
+++ b/front/record_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "front/front_node.h"
+#include "platform/answer_framing.h"
 #include "proxy/http_session.h"
 
 namespace peridotarch {
@@ -36,6 +37,7 @@
   const std::string reader = RemoteAddress(session);
   http_response answer =
       node.mirror.Answer(request.target(), AcceptsZstd(request));
+  RemoveBodyFor(request.method(), answer);
   const size_t bytes = answer.body().size();
   const bool stays_open =
       co_await session.Write(std::move(answer), request.keep_alive());
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/invariant.h"
+#include "platform/answer_framing.h"
 #include "platform/hop_headers.h"
 #include "proxy/entry.h"
 #include "proxy/http_session.h"
@@ -37,7 +38,7 @@
 }
 
 awaitable<counted_reply> AnswerCaller(node& here, block_request request) {
-  const bool head = request.method() == http::verb::head;
+  const http::verb method = request.method();
   const auto begun = std::chrono::steady_clock::now();
   call_result result = co_await RunRequest(here, std::move(request));
   const auto spent = std::chrono::steady_clock::now() - begun;
@@ -48,10 +49,9 @@
   counted.memory = std::move(result.answer_memory);
   counted.reply = ToReply(std::move(result));
   StripHopHeaders(counted.reply);
-  if (head) {
-    counted.reply.body().clear();
-  }
-  Check(IsWhole(counted.reply, head), invariant::kWholeAnswer);
+  RemoveBodyFor(method, counted.reply);
+  Check(IsWhole(counted.reply, method == http::verb::head),
+        invariant::kWholeAnswer);
   co_return counted;
 }
 
@@ -72,10 +72,13 @@
                                    keep && !here.draining.load(), kWritePause);
 }
 
-awaitable<void> Refuse(node& here, http_session& session, reason why) {
+awaitable<void> Refuse(node& here, http_session& session, reason why,
+                       http::verb method) {
   call_result refused = Refusal(why);
   here.measures.CountReply(refused.why, refused.run_verdict);
-  co_await session.Write(ToReply(std::move(refused)), false);
+  http_response reply = ToReply(std::move(refused));
+  RemoveBodyFor(method, reply);
+  co_await session.Write(std::move(reply), false);
   co_await session.CloseAfterDelivery();
 }
 
@@ -96,7 +99,7 @@
         co_await session->ReadInBlocks(read_limits(), std::move(memory));
     place.SetIdle(false);
     if (read.refused) {
-      co_await Refuse(*here, *session, *read.refused);
+      co_await Refuse(*here, *session, *read.refused, read.method);
     }
     if (!read.request ||
         !co_await ServeOne(*here, *session, std::move(*read.request))) {
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -39,6 +39,8 @@
   millis arrived_at;               ///< When the request had arrived.
 };
 
+  /// Also of a refused request, if so much of it was read.
+  boost::beast::http::verb method = boost::beast::http::verb::unknown;
 using read_outcome = basic_read_outcome<http_request>;
 using block_read_outcome = basic_read_outcome<block_request>;
 
@@ -102,7 +104,8 @@
   /// Lets the buffer hold a head and `more` bytes.
   void BoundBuffer(const read_limits& limits, size_t more);
   awaitable<block_read_outcome> ReadBlocks(const read_limits& limits,
-                                           std::shared_ptr<body_blocks> body);
+                                           std::shared_ptr<body_blocks> body,
+                                           boost::beast::http::verb& method);
   awaitable<boost::system::error_code> ReadHeadInto(head_parser& head,
                                                     body_blocks& body,
                                                     const read_limits& limits);
--- a/proxy/http_session_blocks.cc
+++ b/proxy/http_session_blocks.cc
@@ -48,11 +48,14 @@
   BoundBuffer(limits, kBufferedBody);
   auto body = std::make_shared<body_blocks>(memory);
   is_reading_ = true;
-  block_read_outcome outcome = co_await ReadBlocks(limits, std::move(body));
+  auto method = http::verb::unknown;
+  block_read_outcome outcome =
+      co_await ReadBlocks(limits, std::move(body), method);
   is_reading_ = false;
   if (memory->is_ended()) {
     outcome = Refused(reason::kMemoryShort);
   }
+  outcome.method = method;
   if (buffer_.size() == 0 && buffer_.capacity() > kBufferedBody) {
     buffer_.shrink_to_fit();
   }
@@ -63,9 +66,11 @@
 }
 
 awaitable<block_read_outcome> http_session::ReadBlocks(
-    const read_limits& limits, std::shared_ptr<body_blocks> body) {
+    const read_limits& limits, std::shared_ptr<body_blocks> body,
+    http::verb& method) {
   head_parser head;
   error_code failure = co_await ReadHeadInto(head, *body, limits);
+  method = head.get().method();
   if (failure) {
     co_return Refused(RefusalFor(failure));
   }
--- a/proxy/message.cc
+++ b/proxy/message.cc
@@ -77,6 +77,11 @@
   if (has_length && has_coding) {
     return reason::kBadRequest;
   }
+  if (head.method() == http::verb::trace &&
+      (has_coding ||
+       (has_length && head[http::field::content_length] != "0"))) {
+    return reason::kBadRequest;
+  }
   if (has_coding &&
       !boost::beast::iequals(head[http::field::transfer_encoding], "chunked")) {
     return reason::kBadRequest;
--- a/proxy/peer_session.cc
+++ b/proxy/peer_session.cc
@@ -7,6 +7,7 @@
 #include "inner/channel.h"
 #include "inner/forwarded_call.h"
 #include "inner/headers.h"
+#include "platform/answer_framing.h"
 #include "proxy/control.h"
 #include "proxy/http_session.h"
 #include "proxy/message.h"
@@ -47,10 +48,12 @@
   StripForForwarding(request);
   const auto shard = here.owners.Get(call.service, call.shard);
   const std::string id = call.id;
+  const http::verb method = request.method();
   call_result result = co_await shard->Run(std::move(call), std::move(request));
   auto memory = std::move(result.answer_memory);
   http_response reply = ToReply(std::move(result));
   reply.set(kInnerAnswerHeader, id);
+  RemoveBodyFor(method, reply);
   co_return counted_reply{std::move(reply), std::move(memory)};
 }
 
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -294,10 +294,11 @@
     co_await boost::beast::http::async_write(stream, request,
                                              boost::asio::use_awaitable);
     boost::beast::flat_buffer buffer;
-    http_response answer;
+    boost::beast::http::response_parser<boost::beast::http::string_body> answer;
+    answer.skip(request.method() == boost::beast::http::verb::head);
     co_await boost::beast::http::async_read(stream, buffer, answer,
                                             boost::asio::use_awaitable);
-    on_answer(answer);
+    on_answer(answer.release());
   }
 
   fleet_config config_;
--- a/tests/platform/http_client_test.cc
+++ b/tests/platform/http_client_test.cc
@@ -112,5 +112,45 @@
   CHECK(second == "/second");
 }
 
+// The answer of another node to HEAD, forwarded there, was waited for until its
+// body would have come.
+TEST_CASE("HEAD: an answer ends with its head, whatever length it names") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  asio::co_spawn(
+      context,
+      [&acceptor]() -> awaitable<void> {
+        tcp::socket socket =
+            co_await acceptor.async_accept(asio::use_awaitable);
+        boost::beast::flat_buffer buffer;
+        for (int i = 0; i < 2; ++i) {
+          http_request request;
+          co_await http::async_read(socket, buffer, request,
+                                    asio::use_awaitable);
+          const std::string head =
+              "HTTP/1.1 200 OK\r\nContent-Length: 512\r\n\r\n";
+          co_await asio::async_write(socket, asio::buffer(head),
+                                     asio::use_awaitable);
+        }
+      },
+      asio::detached);
+  http_client client(context.get_executor(),
+                     {"127.0.0.1", acceptor.local_endpoint().port()});
+  int answers = 0;
+  asio::co_spawn(
+      context,
+      [&]() -> awaitable<void> {
+        for (int i = 0; i < 2; ++i) {
+          http_request request(http::verb::head, "/", 11);
+          const http_response answer =
+              co_await client.Exchange(std::move(request), millis(500));
+          answers += answer.body().empty() ? 1 : 0;
+        }
+      },
+      asio::detached);
+  context.run_for(std::chrono::seconds(2));
+  CHECK(answers == 2);
+}
+
 }  // namespace
 }  // namespace peridotarch
