A body with a length is awaited once

What callers saw: nothing directly. A caller that left before its body had come was not noticed until the read timed out, so its earlier requests stayed at work at instances.

Cause: GCC 12 awaits both arms of a conditional expression. A body with a length was first read as chunks: that read took the end of the connection and dropped it, and the read of the body waited for more.

Change: an if in place of the conditional expression; no other place awaits in one (searched).

--- a/proxy/http_session_blocks.cc
+++ b/proxy/http_session_blocks.cc
@@ -85,8 +85,12 @@
   if (length > kLongBody) {
     SetReceiveBuffer(kLongReceiveBuffer);
   }
-  failure = head.chunked() ? co_await ReadChunks(head, *body, limits)
-                           : co_await ReadSized(*body, length, limits);
+  // In a conditional expression GCC 12 would await both.
+  if (head.chunked()) {
+    failure = co_await ReadChunks(head, *body, limits);
+  } else {
+    failure = co_await ReadSized(*body, length, limits);
+  }
   if (failure) {
     co_return Refused(RefusalFor(failure));
   }
