100 (Continue) follows the answers before it

If that answer had not begun, "100 Continue" came before it.

Cause: the session reads the next request while it writes the answers to earlier ones, and the read wrote "100 Continue" itself: two writes on one stream, which Boost.Beast refuses by an assertion.

Change: a session that reads ahead sets a gate (http_session::SetContinueGate). caller_session opens it when no earlier answer is left to be written, so that one write is under way at a time and the answers stay in order. If the body comes unasked meanwhile, 100 is left out, which RFC 9110 allows; a caller that leaves is noticed; after an answer that closes the connection the request is not read. The body's time begins behind the gate. Looked at without a fault: the product's own sessions and the admin ports, which write and read in turns.

--- a/front/caller_session.cc
+++ b/front/caller_session.cc
@@ -10,6 +10,8 @@
 #include "front/pipelined_request.h"
 #include "platform/answer_framing.h"
 #include "platform/call_wire.h"
+#include "platform/quiet.h"
+#include "proxy/executor.h"
 #include "proxy/spawn.h"
 
 namespace peridotarch {
@@ -27,6 +29,7 @@
 constexpr size_t kMaxQueued = 8;
 constexpr int kMaxServedAtOnce = 4;
 constexpr millis kMemoryRetryAfter(500);
+constexpr millis kContinuePollInterval(30);
 constexpr size_t kMaxUnwrittenBytes = 1 << 20;  // of answers to slow readers
 
 }  // namespace
@@ -38,6 +41,7 @@
       queue_changed_(node_->context, asio::steady_timer::time_point::max()),
       idle_since_(boot_clock::Now()) {
   node_->sessions.insert(this);
+  session_.SetContinueGate([this] { return WaitToContinue(); });
 }
 
 caller_session::~caller_session() { node_->sessions.erase(this); }
@@ -159,17 +163,13 @@
   one->keep_alive = false;
   one->answer = OwnAnswer(ReplyFor(why).status, "", std::string(ToName(why)),
                           retry_after);
+  RemoveBodyFor(method, *one->answer);
   reads_more_ = false;
   queue_.push_back(one);
   ++node_->in_flight;
   WriteReadyAnswers();
-  RemoveBodyFor(method, *one->answer);
 }
 
-std::shared_ptr<memory_reservation> caller_session::ReserveRequest() {
-  return std::make_shared<memory_reservation>(
-      node_->memory, memory_kind::kRequest, [this] { AbortRead(); },
-      boot_clock::Now());
 // The client may send the body without being told to. Nothing is read
 // meanwhile, so the socket shows whether it has, or has left.
 awaitable<http_session::continue_step> caller_session::WaitToContinue() {
@@ -183,6 +183,10 @@
                         : http_session::continue_step::kStop;
 }
 
+std::shared_ptr<memory_reservation> caller_session::ReserveRequest() {
+  return std::make_shared<memory_reservation>(
+      node_->memory, memory_kind::kRequest, [this] { AbortRead(); },
+      boot_clock::Now());
 }
 
 // Cancelling the operations of a stream would also break off the answer that is
@@ -229,14 +233,15 @@
 
 awaitable<void> caller_session::ServeOne(
     std::shared_ptr<pipelined_request> one) {
+  const auto method = one->request.method();
   one->answer =
       co_await ServeRequest(*node_, std::move(one->request), one->state);
+  RemoveBodyFor(method, *one->answer);
   StartRequests();
   WriteReadyAnswers();
 }
 
 void caller_session::WriteReadyAnswers() {
-  RemoveBodyFor(method, *one->answer);
   if (!is_writing_ && !queue_.empty() && queue_.front()->answer) {
     is_writing_ = true;
     SpawnLogged(node_->context, "answers",
--- a/front/caller_session.h
+++ b/front/caller_session.h
@@ -43,6 +43,9 @@
   awaitable<void> WaitForRoom();
   void Enqueue(block_request request, millis arrived_at);
   void EnqueueRefusal(reason why, boost::beast::http::verb method);
+  /// Waits until the answers before a request that expects 100 (Continue) are
+  /// written.
+  awaitable<http_session::continue_step> WaitToContinue();
   /// Returns the part of the next request in the node's memory.
   std::shared_ptr<memory_reservation> ReserveRequest();
   /// Ends the read of a request for which there is no memory.
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -165,23 +165,36 @@
       std::max<size_t>(size_t{limits.header_bytes} + more, buffer_.size()));
 }
 
+// The client takes an informational answer for the next one that it waits for,
+// and a stream bears one write at a time. Both ask for the answers before it to
+// be written first.
 awaitable<bool> http_session::WriteContinue(const head_parser& head) {
-  error_code failure;
-  if (beast::iequals(head.get()[http::field::expect], "100-continue")) {
-    http::response<http::empty_body> go_on(http::status::continue_, kHttp11);
-    co_await http::async_write(
-        stream_, go_on, asio::redirect_error(asio::use_awaitable, failure));
+  if (!beast::iequals(head.get()[http::field::expect], "100-continue") ||
+      buffer_.size() > 0) {
+    co_return true;
+  }
+  auto step = continue_step::kWrite;
+  if (gate_) {
+    step = co_await gate_();
+  }
+  if (step != continue_step::kWrite) {
+    co_return step == continue_step::kOmit;
   }
+  error_code failure;
+  http::response<http::empty_body> go_on(http::status::continue_, kHttp11);
+  stream_.expires_after(ToChrono(kWriteTimeout));
+  co_await http::async_write(
+      stream_, go_on, asio::redirect_error(asio::use_awaitable, failure));
   co_return !failure;
 }
 
 awaitable<read_outcome> http_session::ReadBody(head_parser& head,
                                                const read_limits& limits) {
   error_code failure;
-  stream_.expires_after(ToChrono(limits.body_timeout));
   if (!co_await WriteContinue(head)) {
     co_return read_outcome{};
   }
+  stream_.expires_after(ToChrono(limits.body_timeout));
   http::request_parser<http::string_body> whole(std::move(head));
   whole.body_limit(limits.body_bytes);
   co_await http::async_read(stream_, buffer_, whole,
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -6,8 +6,10 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "core/millis.h"
 #include "platform/awaitable.h"
@@ -37,10 +39,10 @@
   std::optional<reason> refused;   ///< Answer this, then close.
                                    ///< Neither: close without an answer.
   millis arrived_at;               ///< When the request had arrived.
-};
-
   /// Also of a refused request, if so much of it was read.
   boost::beast::http::verb method = boost::beast::http::verb::unknown;
+};
+
 using read_outcome = basic_read_outcome<http_request>;
 using block_read_outcome = basic_read_outcome<block_request>;
 
@@ -55,6 +57,17 @@
   http_session(const http_session&) = delete;
   http_session& operator=(const http_session&) = delete;
 
+  /// What becomes of the 100 (Continue) that a request expects.
+  enum class continue_step {
+    kWrite,
+    kOmit,  ///< Its body has begun to arrive, or the connection has ended.
+    kStop,  ///< The request is not to be read any more.
+  };
+  using continue_gate = std::function<awaitable<continue_step>()>;
+  /// Sets what is awaited before 100 (Continue) is written, for a session that
+  /// reads requests while it writes answers to earlier ones.
+  void SetContinueGate(continue_gate gate) { gate_ = std::move(gate); }
+
   /// Waits for the first byte of the next request, at most for `limit`. Returns
   /// false if the connection has ended.
   awaitable<bool> WaitForBytes(std::optional<millis> limit = std::nullopt);
@@ -100,9 +113,12 @@
   awaitable<read_outcome> ReadHead(const read_limits& limits);
   awaitable<read_outcome> ReadBody(head_parser& head,
                                    const read_limits& limits);
+  /// Answers a request that expects 100 (Continue). Returns false if its body
+  /// is not to be read.
   awaitable<bool> WriteContinue(const head_parser& head);
   /// Lets the buffer hold a head and `more` bytes.
   void BoundBuffer(const read_limits& limits, size_t more);
+  /// Sets `method` once the head is read.
   awaitable<block_read_outcome> ReadBlocks(const read_limits& limits,
                                            std::shared_ptr<body_blocks> body,
                                            boost::beast::http::verb& method);
@@ -124,6 +140,7 @@
 
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
+  continue_gate gate_;
   millis received_at_;       ///< When the bytes in `buffer_` had been received.
   bool is_waiting_ = false;  ///< For the first byte of a request.
   bool is_reading_ = false;  ///< A request, in blocks.
--- a/proxy/http_session_blocks.cc
+++ b/proxy/http_session_blocks.cc
@@ -77,7 +77,6 @@
   if (const auto why = CheckHead(head.get())) {
     co_return Refused(*why);
   }
-  stream_.expires_after(ToChrono(limits.body_timeout));
   if (!co_await WriteContinue(head)) {
     co_return block_read_outcome{};
   }
--- a/tests/front/pipelining_test.cc
+++ b/tests/front/pipelining_test.cc
@@ -308,5 +308,87 @@
   CHECK(caller.Read(1) == std::vector<std::string>{"r2"});
 }
 
+// "100 Continue" was written beside the answer before it, which ended the
+// process (review/6).
+TEST_CASE("pipelining: 100 (Continue) follows the answers before it") {
+  constexpr size_t kLongBody = 8 << 20;  // more than the sockets hold
+  const bool is_written_first = GENERATE(false, true);
+  const size_t size = is_written_first ? kLongBody : 10;
+  front_world world;
+  world.AddRoute("/get/", true);
+  held_instance instance(world);
+  pipelining_caller caller(world);
+  caller.Send(RequestBytes("GET", "/get/1", "r1"));
+  world.RunUntil([&] { return instance.waiting.contains("r1"); });
+  if (is_written_first) {
+    instance.Release("r1", std::string(size, 'a'));
+    RunBriefly(world);
+  }
+  caller.Send(RequestBytes("GET", "/get/2", "r2",
+                           "Expect: 100-continue\r\nContent-Length: 4\r\n"));
+  RunBriefly(world);
+  if (!is_written_first) {
+    instance.Release("r1", std::string(size, 'a'));
+  }
+  const auto answers = caller.Read(2);
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[0].size() == size);
+  CHECK(caller.last_status == 100);
+  caller.Send("body");
+  world.RunUntil([&] { return instance.waiting.contains("r2"); });
+  REQUIRE(instance.waiting.contains("r2"));
+  instance.Release("r2");
+  REQUIRE(caller.Read(1).size() == 1);
+  CHECK(caller.last_status == 200);
+}
+
+TEST_CASE("pipelining: a body that comes unasked needs no 100 (Continue)") {
+  front_world world;
+  world.AddRoute("/get/", true);
+  held_instance instance(world);
+  pipelining_caller caller(world);
+  caller.Send(RequestBytes("GET", "/get/1", "r1"));
+  world.RunUntil([&] { return instance.waiting.contains("r1"); });
+  caller.Send(RequestBytes("GET", "/get/2", "r2",
+                           "Expect: 100-continue\r\nContent-Length: 4\r\n"));
+  RunBriefly(world);
+  caller.Send("body");
+  world.RunUntil([&] { return instance.waiting.contains("r2"); });
+  REQUIRE(instance.waiting.contains("r2"));
+  instance.Release("r2");
+  instance.Release("r1");
+  CHECK(caller.Read(2) == std::vector<std::string>{"r1", "r2"});
+}
+
+TEST_CASE("pipelining: a caller that leaves before 100 (Continue) is noticed") {
+  front_world world;
+  world.AddRoute("/get/", true);
+  held_instance instance(world);
+  pipelining_caller caller(world);
+  caller.Send(RequestBytes("GET", "/get/1", "r1"));
+  world.RunUntil([&] { return instance.waiting.contains("r1"); });
+  caller.Send(RequestBytes("GET", "/get/2", "r2",
+                           "Expect: 100-continue\r\nContent-Length: 4\r\n"));
+  RunBriefly(world);
+  caller.Close();
+  world.RunUntil([&] { return instance.ended > 0; }, millis(400));
+  CHECK(instance.ended == 1);
+}
+
+// The end of the connection was read and dropped, and the body awaited on.
+TEST_CASE("pipelining: a caller that leaves before its body is noticed") {
+  front_world world;
+  world.AddRoute("/get/", true);
+  held_instance instance(world);
+  pipelining_caller caller(world);
+  caller.Send(RequestBytes("GET", "/get/1", "r1"));
+  world.RunUntil([&] { return instance.waiting.contains("r1"); });
+  caller.Send(RequestBytes("GET", "/get/2", "r2", "Content-Length: 4\r\n"));
+  RunBriefly(world);
+  caller.Close();
+  world.RunUntil([&] { return instance.ended > 0; }, millis(400));
+  CHECK(instance.ended == 1);
+}
+
 }  // namespace
 }  // namespace peridotarch
