A whole rejection is a promise whatever follows it

Now a rejection is doubted only if a status line begins within its body, also where the body's end cuts that line. front/cut_answer_test joins rejections that are cut, not whole ones.

--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -44,9 +44,12 @@
 
 // An instance that breaks off in the body of a rejection and answers all the
 // same has run the request. The rejection then ends within the second answer.
-bool IsDoubtfulRejection(const http_response& answer, bool has_more_bytes) {
+bool IsDoubtfulRejection(const http_response& answer,
+                         const beast::flat_buffer& following) {
+  const std::string_view bytes(
+      static_cast<const char*>(following.data().data()), following.size());
   return ClassifyAnswer(ReadFacts(answer)).run_verdict == verdict::kNotRun &&
-         (has_more_bytes || HasJoinedBody(answer));
+         HasJoinedBody(answer, bytes);
 }
 
 std::string ConnectionKey(const instance_entry& instance) {
@@ -247,8 +250,7 @@
   if (reservation->is_ended()) {
     on_body_dropped(params.instance);
   }
-  if (!failure &&
-      IsDoubtfulRejection(parser->get(), connection->buffer.size() > 0)) {
+  if (!failure && IsDoubtfulRejection(parser->get(), connection->buffer)) {
     failure = http::make_error_code(http::error::unexpected_body);
   }
   if (control.cancelled) {
--- a/proxy/upstream_link.cc
+++ b/proxy/upstream_link.cc
@@ -145,14 +145,16 @@
   }
   result.end.read = read_progress::kWhole;
   result.end.ended = attempt_end_cause::kAnswered;
-  const bool is_doubtful =
-      used->buffer.size() > 0 || HasJoinedBody(parser->get());
+  const std::string_view following(
+      static_cast<const char*>(used->buffer.data().data()),
+      used->buffer.size());
+  const bool is_joined = HasJoinedBody(parser->get(), following);
   result.answer = parser->release();
   result.answer_memory = std::move(memory);
   result.end.shed = result.answer.count(kNotStartedHeader) != 0 &&
                     result.answer.result() == http::status::service_unavailable;
   // The upstream may have broken off in the rejection and answered behind it.
-  if (result.end.shed && is_doubtful) {
+  if (result.end.shed && is_joined) {
     result.end.shed = false;
     result.end.ended = attempt_end_cause::kMalformed;
     co_return result;
