--- a/tests/platform/store_records_test.cc
+++ b/tests/platform/store_records_test.cc
@@ -49,6 +49,19 @@
   CHECK(config.limits.idle_timeout == millis(15'000));
 }
 
+// The nodes refused such versions and never got ready.
+TEST_CASE("a version has 64 bits") {
+  const auto version_of = [](const std::string& text) {
+    return DecodeConfig(Replaced(kConfig, "r7", text)).version.value();
+  };
+  CHECK(version_of("r9223372036854775900") == 9'223'372'036'854'775'900U);
+  CHECK(version_of("r18446744073709551615") == UINT64_MAX);
+  for (const std::string bad :
+       {"r18446744073709551616", "r", "r 7", "r+7", "r7 ", "r0x7", "7"}) {
+    CHECK_THROWS_AS(version_of(bad), codec_error);
+  }
+}
+
 TEST_CASE("a configuration with a bad field is refused as a whole") {
   for (const auto& [from, to] :
        std::vector<std::pair<std::string, std::string>>{
