--- a/tests/process/readers_away_case.py
+++ b/tests/process/readers_away_case.py
@@ -7,10 +7,14 @@
 after its reads have stopped.
 
 HARMS names the ways in which the machines are turned away (store_path.Harm),
-one round each; ZONES the zone of each node. With TROUBLE=0 none is turned away.
+one round each; ZONES the zone of each node. AWAY=one turns away one reader,
+AWAY=zone all that read in one zone, AWAY=share (the default) a third of the
+machines. With TROUBLE=0 none is turned away. Printed as well is when the others
+had the version in force, by their logs.
 """
 
 import asyncio
+import json
 import os
 import random
 import time
@@ -24,6 +28,7 @@
 AWAY_S = 5.0
 CALM_S = 5.0
 ZONES = os.environ.get("ZONES", "za,za,za,zb,zb,zb,zc,zc,zc").split(",")
+AWAY = os.environ.get("AWAY", "share")
 HARMS = [Harm(name) for name in
          os.environ.get("HARMS", "silent,open,busy,late,reset").split(",")]
 
@@ -58,13 +63,21 @@
 
     async def play(self, paths, harm):
         readers = sorted(range(len(paths)), key=lambda one: -paths[one].calls)
-        self.away = readers[:int(SHARE * len(paths))]
+        if AWAY == "one":
+            self.away = readers[:1]
+        elif AWAY == "zone":
+            self.away = [one for one in readers if paths[one].calls > 1
+                         and ZONES[one] == ZONES[readers[0]]]
+        else:
+            self.away = readers[:int(SHARE * len(paths))]
         self.fleet.record(f"{harm.value}: machines {self.away}")
         for number in self.away:
             paths[number].set_harm(harm if standin.TROUBLE else Harm.NONE)
         await asyncio.sleep(random.uniform(0, 0.3))
         await self.route_to(self.after)
         self.moved = self.fleet.acknowledged
+        self.moved_wall = time.time()
+        self.version = self.fleet.version
         self.leaving.state = "draining"
         await self.leaving.announce("draining")
         self.drained = time.monotonic()
@@ -72,6 +85,21 @@
         for number in self.away:
             paths[number].set_harm(Harm.NONE)
 
+    def in_force(self):
+        """Returns after how many seconds the other machines had the version in
+        force, sorted."""
+        times = []
+        for proxy in self.fleet.proxies:
+            if proxy.number in self.away:
+                continue
+            for line in proxy.log.read_text(errors="replace").splitlines():
+                if '"config_in_force"' in line:
+                    entry = json.loads(line)
+                    if (entry["version"] == self.version
+                            and entry["at_ms"] / 1000 > self.moved_wall - 1):
+                        times.append(entry["at_ms"] / 1000 - self.moved_wall)
+        return sorted(times) or [float("nan")]
+
     def late(self):
         """Returns how late the requests of the other machines were."""
         config, drain = [0.0], [0.0]
@@ -117,9 +145,13 @@
         calls = sum(path.calls for path in paths) / (time.monotonic() - began)
         await this.play(paths, harm)
         config, drain = this.late()
-        print(f"{harm.value}: machines {this.away} away, last at the old "
+        times = this.in_force()
+        print(f"{harm.value}: {len(this.away)} machines away, last at the old "
               f"service {config:.2f} s, at the leaving instance {drain:.2f} s "
-              f"after the acknowledgement; {calls:.1f} calls a second before")
+              f"after the acknowledgement; in force at {len(times)} others, "
+              f"p50 {times[len(times) // 2]:.2f} p99 "
+              f"{times[len(times) * 99 // 100]:.2f} most {times[-1]:.2f} s; "
+              f"{calls:.1f} calls a second before")
         is_broken |= config > APPLY_S or drain > DRAIN_S
     for task in tasks:
         task.cancel()
