--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -5,6 +5,7 @@
 #include "platform/base64.h"
 #include "platform/http_hosts.h"
 #include "platform/http_log.h"
+#include "platform/keyed_page.h"
 
 namespace peridotarch {
 namespace {
@@ -29,6 +30,26 @@
   }
 }
 
+// A value that is null made the whole page unreadable.
+TEST_CASE("newest records: no value, null and an empty one are a removal") {
+  keyed_page page;
+  AddNewestPage(R"({"items":[{"key":"a"},{"key":"b","value":null},
+                             {"key":"c","value":""},
+                             {"key":"d","value":"Zm9v"}],
+                    "has_more":false,"end_offset":4})",
+                page);
+  REQUIRE(page.records.size() == 4);
+  for (size_t i = 0; i < 3; ++i) {
+    CHECK_FALSE(page.records[i].value);
+  }
+  CHECK(page.records[3].value == "foo");
+  for (const std::string bad : {"7", "{}", "false"}) {
+    const std::string body = R"({"items":[{"key":"a","value":)" + bad +
+                             R"(}],"has_more":false,"end_offset":1})";
+    CHECK_THROWS_AS(AddNewestPage(body, page), codec_error);
+  }
+}
+
 TEST_CASE("a page of the log decodes, and a malformed one throws") {
   const log_page page = DecodeLogPage(
       R"({"first":3,"next":9,"records":[{"offset":8,"time":77,"data":"Zm9v"}]})");
