A store that refuses every other read is not asked without a pause

A read that is refused while it waits was repeated at once, each time. With a store that refuses every other call (429) a reader would have asked it in a loop. The repeat is made at most every 2 s; otherwise the node takes its word back and pauses, as after any failure. Found by reading; the test failed before. reader_duty has a header of its own.

--- a/balance/read_schedule.cc
+++ b/balance/read_schedule.cc
@@ -13,6 +13,8 @@
 constexpr millis kMaxReadWait(900);
 // Beyond the wait. The answers of a slow store still arrive within it.
 constexpr millis kMaxAnswerDelay(350);
+// A store that refuses every other read is not asked all the time.
+constexpr millis kMinRepeatInterval(2'000);
 
 }  // namespace
 
@@ -36,9 +38,16 @@
 bool read_schedule::NoteFailed(millis now) {
   const bool was_current = state_ == read_state::kCurrent;
   const bool is_early = now - began_at_ <= times_.wait;
-  state_ =
-      was_current && is_early ? read_state::kAsksAgain : read_state::kUnknown;
-  return was_current;
+  state_ = read_state::kUnknown;
+  if (!was_current || !is_early) {
+    return was_current;
+  }
+  if (repeated_at_ && now - *repeated_at_ < kMinRepeatInterval) {
+    return false;
+  }
+  repeated_at_ = now;
+  state_ = read_state::kAsksAgain;
+  return true;
 }
 
 millis read_schedule::PauseAfterAnswer() const {
--- a/balance/read_schedule.h
+++ b/balance/read_schedule.h
@@ -55,7 +55,8 @@
   read_state state_ = read_state::kUnknown;
   read_times times_;  ///< Of the last read.
   millis began_at_;
-  bool had_records_ = false;  ///< The last read has brought records.
+  std::optional<millis> repeated_at_;  ///< When a refused read was repeated.
+  bool had_records_ = false;           ///< The last read has brought records.
 };
 
 }  // namespace peridotarch
--- a/balance/reader_choice.h
+++ b/balance/reader_choice.h
@@ -2,13 +2,17 @@
 #define BALANCE_READER_CHOICE_H_
 
 #include <cstdint>
-#include <optional>
 #include <span>
 
 #include "core/millis.h"
 
 namespace peridotarch {
 
+/// Reports come once a second, with some delay. Changes in the store have to
+/// reach every node within two seconds, which leaves no time to wait for a
+/// second missed report.
+inline constexpr millis kReaderTimeout(1'400);
+
 /// What this node knows about another node as a reader of the store.
 struct reader_candidate {
   uint64_t rank = 0;         ///< Fixed for each node; the lowest ranks read.
@@ -33,21 +37,6 @@
                           std::span<const reader_candidate> others,
                           bool is_first_start, millis now);
 
-/// When this node reads the store for its zone. A few nodes take over from a
-/// reader that is lost; more follow if none of them can read either.
-class reader_duty {
- public:
-  /// Returns since when, or from when on, this node should read the store, or
-  /// nullopt if enough others do. Must be called whenever readers may have been
-  /// lost, as the delay counts from the first call that finds too few.
-  std::optional<millis> DueAt(uint64_t own_rank,
-                              std::span<const reader_candidate> others,
-                              millis now);
-
- private:
-  std::optional<millis> missing_since_;
-};
-
 }  // namespace peridotarch
 
 #endif  // BALANCE_READER_CHOICE_H_
--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -13,6 +13,7 @@
 #include "balance/heartbeat_schedule.h"
 #include "balance/node_ring.h"
 #include "balance/reader_choice.h"
+#include "balance/reader_duty.h"
 #include "balance/report_pace.h"
 #include "front/front_node.h"
 #include "front/peer_ahead.h"
--- a/front/store_watch.h
+++ b/front/store_watch.h
@@ -47,6 +47,7 @@
                             const std::string& failed);
   /// Waits until this node may have to read the store.
   awaitable<void> WaitForDuty(followed_topic& topic);
+  /// Ends these waits: a reader was lost.
   void WakeReaders();
   [[nodiscard]] endpoint NextMirror();
   [[nodiscard]] bool IsConfig(const followed_topic& topic) const {
--- a/tests/balance/read_schedule_test.cc
+++ b/tests/balance/read_schedule_test.cc
@@ -50,6 +50,11 @@
   SECTION("it succeeds") {
     schedule.NoteAnswered(false);
     CHECK(schedule.is_current());
+    // Not each time, or a store that refuses every other read would be asked
+    // without a pause.
+    schedule.Begin(kLong, refused_at);
+    CHECK_FALSE(schedule.NoteFailed(refused_at));
+    CHECK_FALSE(schedule.is_current());
   }
   SECTION("it is refused, too") {
     CHECK_FALSE(schedule.NoteFailed(refused_at));
--- a/tests/balance/reader_choice_test.cc
+++ b/tests/balance/reader_choice_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <vector>
 
+#include "balance/reader_duty.h"
+
 namespace peridotarch {
 namespace {
 
--- a/tests/balance/reader_takeover_test.cc
+++ b/tests/balance/reader_takeover_test.cc
@@ -7,6 +7,7 @@
 
 #include "balance/read_schedule.h"
 #include "balance/reader_choice.h"
+#include "balance/reader_duty.h"
 
 namespace peridotarch {
 namespace {
