One place for when a read of the store is due, one for callers that leave

MustReadStore and OnReaderLost made the same call of reader_duty; two pipelining tests had the same steps with other headers. No functional change.

--- a/front/peer_reporter.h
+++ b/front/peer_reporter.h
@@ -128,6 +128,7 @@
   [[nodiscard]] std::optional<std::string> FindLivePeer() const;
   [[nodiscard]] int CountKnownNodes() const;
   [[nodiscard]] int RankInZone() const;
+  [[nodiscard]] std::optional<millis> ReadDueAt(millis now);
   [[nodiscard]] bool MustReadStore();
   /// A node no longer reads the store.
   void OnReaderLost();
--- a/front/peer_reporter_records.cc
+++ b/front/peer_reporter_records.cc
@@ -67,17 +67,19 @@
   return others;
 }
 
+std::optional<millis> peer_reporter::ReadDueAt(millis now) {
+  return duty_.DueAt(own_relay_key_, ReaderCandidates(), now);
+}
+
 bool peer_reporter::MustReadStore() {
   const millis now = boot_clock::Now();
-  const std::optional<millis> due_at =
-      duty_.DueAt(own_relay_key_, ReaderCandidates(), now);
+  const std::optional<millis> due_at = ReadDueAt(now);
   return due_at && *due_at <= now;
 }
 
 void peer_reporter::OnReaderLost() {
   const millis now = boot_clock::Now();
-  const std::optional<millis> due_at =
-      duty_.DueAt(own_relay_key_, ReaderCandidates(), now);
+  const std::optional<millis> due_at = ReadDueAt(now);
   if (due_at) {
     takeover_timer_.Start(std::max(*due_at - now, millis(0)),
                           [this] { node_->on_takeover_due(); });
--- a/tests/front/pipelining_test.cc
+++ b/tests/front/pipelining_test.cc
@@ -362,34 +362,29 @@
   CHECK(caller.Read(2) == std::vector<std::string>{"r1", "r2"});
 }
 
-TEST_CASE("pipelining: a caller that leaves before 100 (Continue) is noticed") {
+// A caller waits for one answer, and leaves before the body of a second
+// request.
+void CheckLeavingIsNoticed(const std::string& headers) {
   front_world world;
   world.AddRoute("/get/", true);
   held_instance instance(world);
   pipelining_caller caller(world);
   caller.Send(RequestBytes("GET", "/get/1", "r1"));
   world.RunUntil([&] { return instance.waiting.contains("r1"); });
-  caller.Send(RequestBytes("GET", "/get/2", "r2",
-                           "Expect: 100-continue\r\nContent-Length: 4\r\n"));
+  caller.Send(RequestBytes("GET", "/get/2", "r2", headers));
   RunBriefly(world);
   caller.Close();
   world.RunUntil([&] { return instance.ended > 0; }, millis(400));
   CHECK(instance.ended == 1);
 }
 
+TEST_CASE("pipelining: a caller that leaves before 100 (Continue) is noticed") {
+  CheckLeavingIsNoticed("Expect: 100-continue\r\nContent-Length: 4\r\n");
+}
+
 // The end of the connection was read and dropped, and the body awaited on.
 TEST_CASE("pipelining: a caller that leaves before its body is noticed") {
-  front_world world;
-  world.AddRoute("/get/", true);
-  held_instance instance(world);
-  pipelining_caller caller(world);
-  caller.Send(RequestBytes("GET", "/get/1", "r1"));
-  world.RunUntil([&] { return instance.waiting.contains("r1"); });
-  caller.Send(RequestBytes("GET", "/get/2", "r2", "Content-Length: 4\r\n"));
-  RunBriefly(world);
-  caller.Close();
-  world.RunUntil([&] { return instance.ended > 0; }, millis(400));
-  CHECK(instance.ended == 1);
+  CheckLeavingIsNoticed("Content-Length: 4\r\n");
 }
 
 }  // namespace
