Take no answer that a reset ends during an upload for a whole one

What callers saw: an instance answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection. The caller got that part as the whole answer, with the instance's seal.

Cause: connection_pool writes the request in the background while it reads the answer. Linux reports the error of a connection once, to whichever call asks first. After the write has got ECONNRESET, the read ends with EOF, and EOF ends the body of an answer without a length. Answers with a length or in chunks were not affected: their end is known.

Change: the end of the connection ends such an answer only if the peer has acknowledged the whole request, or if the connection is still in order 200 ms later, as after a half-close by an instance that reads on or stalls. A failed write, or a hang-up of the connection, makes the answer broken: 502 for an unsafe request, a retry for a safe one.

--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -1,6 +1,7 @@
 #include "front/connection_pool.h"
 
 #include <algorithm>
+#include <boost/asio/error.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -15,11 +16,13 @@
 #include "platform/answer_body.h"
 #include "platform/answer_framing.h"
 #include "platform/call_wire.h"
+#include "platform/connection_state.h"
 #include "platform/final_status.h"
 #include "platform/quiet.h"
 #include "platform/to_chrono.h"
 #include "proxy/connect.h"
 #include "proxy/exchange_ending.h"
+#include "proxy/executor.h"
 
 namespace peridotarch {
 
@@ -41,6 +44,10 @@
 constexpr int kInformationalClass = 1;  // 1xx
 constexpr int kMaxInformationalAnswers = 8;
 constexpr int kMaxStrayAnswers = 3;
+// An instance that has closed its connection resets it when it gets more of the
+// request, a round trip later.
+constexpr millis kResetWait(200);
+constexpr millis kResetCheckInterval(5);
 
 // An instance that breaks off in the body of a rejection and answers all the
 // same has run the request. The rejection then ends within the second answer.
@@ -77,11 +84,11 @@
 // Writes the request in the background: an instance may answer before it has
 // read a long body, and its answer would otherwise never be read.
 void StartWrite(const std::shared_ptr<instance_connection>& connection) {
-  connection->fully_sent = false;
-  connection->send_started = true;
+  connection->sending = request_sending::kUnderWay;
   http::async_write(connection->stream, connection->request,
                     [connection](const error_code& failure, size_t) {
-                      connection->fully_sent = !failure;
+                      connection->sending = failure ? request_sending::kFailed
+                                                    : request_sending::kDone;
                     });
 }
 
@@ -124,6 +131,32 @@
   co_return http::make_error_code(http::error::unexpected_body);  // malformed
 }
 
+// Returns whether the end of the connection ends an answer without a length.
+// While the request is being written, the end of a read proves nothing: Linux
+// reports a reset once, and after a write has got it, a read ends as after an
+// orderly close. An instance that has ended its side alone may still read.
+awaitable<bool> HasEndedInOrder(
+    instance_connection& connection,
+    std::chrono::steady_clock::time_point deadline) {
+  const auto until = std::min(
+      deadline, std::chrono::steady_clock::now() + ToChrono(kResetWait));
+  for (;;) {
+    const int socket = connection.stream.socket().native_handle();
+    const bool is_sent = connection.sending == request_sending::kDone;
+    if (is_sent && !HasUnacknowledgedBytes(socket)) {
+      co_return true;
+    }
+    if (connection.sending == request_sending::kFailed ||
+        (is_sent && IsReset(socket))) {
+      co_return false;
+    }
+    if (std::chrono::steady_clock::now() >= until) {
+      co_return true;
+    }
+    co_await Sleep(connection.stream.get_executor(), kResetCheckInterval);
+  }
+}
+
 }  // namespace
 
 void exchange_control::Cancel() {
@@ -134,7 +167,7 @@
 }
 
 bool exchange_control::HasStartedSending() const {
-  return connection && connection->send_started;
+  return connection && connection->sending != request_sending::kNotStarted;
 }
 
 connection_pool::connection_pool(asio::io_context& context,
@@ -224,7 +257,7 @@
   }
   SetTimeLeft(params.request, work_time);
   control.connection = connection;
-  connection->send_started = false;
+  connection->sending = request_sending::kNotStarted;
   connection->stream.expires_at(deadline);
   connection->request = std::move(params.request);
   StartWrite(connection);
@@ -240,6 +273,10 @@
       result.summary.read = read_progress::kPart;
       failure = co_await ReadAnswerBody(connection->stream, connection->buffer,
                                         *parser, *reservation, deadline);
+      if (!failure && parser->need_eof()) {
+        const bool is_whole = co_await HasEndedInOrder(*connection, deadline);
+        failure = is_whole ? error_code() : asio::error::connection_reset;
+      }
     }
     if (failure || stray_answers == kMaxStrayAnswers ||
         AnswersRequest(parser->get(), params.id)) {
@@ -269,7 +306,8 @@
   result.answer = parser->release();
   reservation->Complete();
   result.reservation = std::move(reservation);
-  if (result.answer.keep_alive() && is_framed && connection->fully_sent &&
+  if (result.answer.keep_alive() && is_framed &&
+      connection->sending == request_sending::kDone &&
       connection->buffer.size() == 0 && !ReadNotice(result.answer).leaving) {
     connection->idle_timeout = IdleTimeout(result.answer) - kIdleCloseMargin;
     result.idle_connections = KeepIdle(params.instance, std::move(connection));
--- a/front/instance_connection.h
+++ b/front/instance_connection.h
@@ -11,6 +11,14 @@
 
 namespace peridotarch {
 
+/// How far the request on a connection has been written.
+enum class request_sending {
+  kNotStarted,
+  kUnderWay,  ///< A part may have been written.
+  kDone,      ///< All of it, to the system's buffer.
+  kFailed,    ///< The connection broke, or was closed.
+};
+
 /// One connection to an instance and the request that it carries.
 class instance_connection {
  public:
@@ -23,8 +31,7 @@
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   block_request request;
-  bool fully_sent = false;    ///< The whole request has been written.
-  bool send_started = false;  ///< A part of the request may have been written.
+  request_sending sending = request_sending::kNotStarted;
   millis idle_since;
   /// Not reused when idle for longer. Shorter than the time after which the
   /// instance closes an idle connection.
--- a/tests/front/front_world.h
+++ b/tests/front/front_world.h
@@ -148,6 +148,12 @@
     PutConfigInForce();
   }
 
+  /// Sets the longest body that a caller may send.
+  void SetMaxBody(size_t bytes) {
+    config_.limits.body_bytes = bytes;
+    PutConfigInForce();
+  }
+
   /// Adds a team with one key.
   void AddTeam(const std::string& name, const std::string& key,
                std::optional<int> priority = {}) {
@@ -227,6 +233,7 @@
     for (const auto& [name, value] : caller_headers) {
       request.insert(name, value);
     }
+    request.body() = caller_body;
     boost::asio::co_spawn(context,
                           SendAndRead(std::move(request), std::move(on_answer)),
                           boost::asio::detached);
@@ -258,6 +265,7 @@
   boost::asio::io_context context;
   std::shared_ptr<front_node> node;
   std::vector<header> caller_headers;  ///< Of each request, beside the usual.
+  std::string caller_body;             ///< Of each request.
 
  private:
   static node_settings WithAnswerBytes(uint64_t answer_bytes) {
--- a/tests/process/consumers.py
+++ b/tests/process/consumers.py
@@ -26,6 +26,7 @@
         self.reader = self.writer = None
         self.carried = 0  # requests on this connection
         self.request = ""  # the last one
+        self.status = None  # of its answer, also one to another request
         self.got = None  # headers and body of its answer
         self.sent = 0.0  # when it was written
         self.fresh = False  # a new connection for each request
@@ -45,7 +46,7 @@
     async def call(self, method, path, body=b""):
         Consumer.counter += 1
         request = self.request = f"q{os.getpid()}-{Consumer.counter}"
-        self.got = None
+        self.status = self.got = None
         record = self.fleet.record
         try:
             if not self.writer:
@@ -76,7 +77,7 @@
                     body = await asyncio.wait_for(
                         read_body(self.reader, got[1]), 1)
                 self.got = (got[1], body)
-                result = status
+                result = self.status = status
                 if got[1].get("x-request-id") != request:
                     result = "foreign"
                 if got[1].get("connection", "").lower() == "close":
