One reader of the heads of answers, also for http_client

What was seen: the client of the store, the log, the host list, other nodes and the health probes accepted any status of three digits, 000 among them, and took an informational answer (100, 103) for the final one. The final one then came as the answer to the next call: two calls, each answered with a 103 and 50 ms later with the real answer, got "" and "first" in place of "first" and "other".

Cause: each of the three readers of answers had its own loop over heads, and http_client had none. upstream_link put no limit on informational answers.

Change: ReadAnswerHead passes over at most eight informational heads and refuses invalid statuses, joined heads and unknown codings, for all three readers. What connection_pool refuses is unchanged.

--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -15,9 +15,9 @@
 #include "front/instance_connection.h"
 #include "platform/answer_body.h"
 #include "platform/answer_framing.h"
+#include "platform/answer_head.h"
 #include "platform/call_wire.h"
 #include "platform/connection_state.h"
-#include "platform/final_status.h"
 #include "platform/quiet.h"
 #include "platform/to_chrono.h"
 #include "proxy/connect.h"
@@ -39,10 +39,7 @@
 constexpr millis kDefaultIdleTimeout(4'000);
 constexpr millis kIdleCloseMargin(1'000);  // before the instance closes
 constexpr size_t kMaxIdlePerInstance = 4;
-constexpr uint32_t kMaxAnswerHeader = 64 << 10;
-constexpr uint64_t kMaxAnswerBody = 16 << 20;
-constexpr int kInformationalClass = 1;  // 1xx
-constexpr int kMaxInformationalAnswers = 8;
+constexpr answer_limits kAnswerLimits = {64 << 10, 16 << 20};
 constexpr int kMaxStrayAnswers = 3;
 // An instance that has closed its connection resets it when it gets more of the
 // request, a round trip later.
@@ -92,45 +89,6 @@
                     });
 }
 
-// Returns whether the answer's body is in another coding than "chunked". Its
-// end is then unknown, and the parser would take the coded bytes for the body.
-bool HasUnknownCoding(const answer_parser& parser) {
-  return parser.get().count(http::field::transfer_encoding) != 0 &&
-         !parser.chunked();
-}
-
-// Reads the head of the next answer on the connection, past informational (1xx)
-// ones. Each head may carry a notice of the instance.
-awaitable<error_code> ReadAnswerHead(
-    instance_connection& connection, std::optional<answer_parser>& parser,
-    std::function<void(const answer_notice&)> on_notice) {
-  error_code failure;
-  for (int read = 0; read <= kMaxInformationalAnswers; ++read) {
-    parser.emplace();
-    parser->body_limit(kMaxAnswerBody);
-    parser->header_limit(kMaxAnswerHeader);
-    parser->skip(connection.request.method() == http::verb::head);
-    co_await http::async_read_header(
-        connection.stream, connection.buffer, *parser,
-        asio::redirect_error(asio::use_awaitable, failure));
-    if (failure) {
-      co_return failure;
-    }
-    if (HasJoinedHead(parser->get()) || HasUnknownCoding(*parser)) {
-      break;
-    }
-    on_notice(ReadNotice(parser->get()));
-    const unsigned status = parser->get().result_int();
-    if (IsFinalStatus(status)) {
-      co_return failure;
-    }
-    if (status / 100 != kInformationalClass) {
-      break;
-    }
-  }
-  co_return http::make_error_code(http::error::unexpected_body);  // malformed
-}
-
 // Returns whether the end of the connection ends an answer without a length.
 // While the request is being written, the end of a read proves nothing: Linux
 // reports a reset once, and after a write has got it, a read ends as after an
@@ -265,10 +223,12 @@
   std::optional<answer_parser> parser;
   error_code failure;
   for (int stray_answers = 0;; ++stray_answers) {
-    failure = co_await ReadAnswerHead(
-        *connection, parser, [this, &params](const answer_notice& notice) {
-          on_notice(params.instance, notice);
-        });
+    failure =
+        co_await ReadAnswerHead(connection->stream, connection->buffer, parser,
+                                connection->request.method(), kAnswerLimits,
+                                [this, &params](const http_response& head) {
+                                  on_notice(params.instance, ReadNotice(head));
+                                });
     if (!failure) {
       result.summary.read = read_progress::kPart;
       failure = co_await ReadAnswerBody(connection->stream, connection->buffer,
--- a/proxy/upstream_link.cc
+++ b/proxy/upstream_link.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -17,7 +16,7 @@
 #include "inner/headers.h"
 #include "platform/answer_body.h"
 #include "platform/answer_framing.h"
-#include "platform/final_status.h"
+#include "platform/answer_head.h"
 #include "platform/quiet.h"
 #include "platform/to_chrono.h"
 #include "proxy/connect.h"
@@ -36,7 +35,7 @@
 constexpr millis kConnectTimeout(1000);
 constexpr size_t kMaxIdleConnections = 64;
 constexpr int kHttp11 = 11;
-constexpr int kInformational = 1;  // 1xx
+constexpr answer_limits kAnswerLimits = {kMaxHeaderBytes, kMaxBodyBytes};
 
 // An answer that only the end of the connection delimits cannot be told from
 // one that was cut, so it does not count as whole.
@@ -115,19 +114,11 @@
   }
   result.end.written = write_progress::kAll;
   std::optional<answer_parser> parser;
-  do {
-    parser.emplace();
-    parser->body_limit(kMaxBodyBytes);
-    parser->header_limit(kMaxHeaderBytes);
-    parser->skip(request.method() == http::verb::head);
-    co_await http::async_read_header(
-        used->stream, used->buffer, *parser,
-        asio::redirect_error(asio::use_awaitable, failure));
-  } while (!failure && parser->get().result_int() / 100 == kInformational);
+  failure = co_await ReadAnswerHead(used->stream, used->buffer, parser,
+                                    request.method(), kAnswerLimits);
   if (!failure) {
     result.end.read = read_progress::kPart;
-    if (!HasKnownLength(*parser) || HasJoinedHead(parser->get()) ||
-        !IsFinalStatus(parser->get().result_int())) {
+    if (!HasKnownLength(*parser)) {
       result.end.ended = attempt_end_cause::kMalformed;
       co_return result;
     }
