Consumers of the tests refuse answers that are none of HTTP

The consumers of the soak and of the process tests took any three digits for a status and stripped blanks from field names; to the soak a 000 was a failure of the instance, which its rules allow. They now call such an answer "malformed", a wrong answer to the soak. The load generator counts an invalid status as wrong too.

Read beside them: http.client, used for the control ports and by the upgrade test, raises upon a status below 100, a reset, and a body cut by length or in chunks, but takes a cut head for a whole one; the upgrade test compares the body of each 200 with what was sent. request_schedule compares each answer with what the instances sent.

Measured: wire_test and soak_rules_test pass.

--- a/scripts/lib/soak_rules.py
+++ b/scripts/lib/soak_rules.py
@@ -51,7 +51,7 @@
         answer = send["answer"]
         send["status"] = answer if isinstance(answer, int) else 0
         send["verdict"] = ""
-        if answer == "foreign":
+        if answer in ("foreign", "malformed"):
             send["result"] = "wrong"
         elif answer == "timeout":
             send["result"] = "late"
--- a/scripts/lib/soak_rules_test.py
+++ b/scripts/lib/soak_rules_test.py
@@ -67,7 +67,8 @@
     def test_whole_own_answer(self):
         self.assertEqual(broken([send("a")], [run("a")]), set())
         for wrong in ({"crc": 1}, {"seal": ""}, {"seal": "i-0.b"},
-                      {"answer": "foreign"}, {"answer": 500}):
+                      {"answer": "foreign"}, {"answer": "malformed"},
+                      {"answer": 500}):
             self.assertIn("wrong answer",
                           broken([send("a", **wrong)], [run("a")]), wrong)
         self.assertIn("wrong answer", broken([send("a")]))
--- a/tests/process/consumers.py
+++ b/tests/process/consumers.py
@@ -4,7 +4,8 @@
 import os
 import time
 
-from wire import HOST, has_body, no_delay, read_body, read_head
+from wire import (HOST, MalformedHead, has_body, no_delay, read_body, read_head,
+                  read_status)
 
 
 class Consumer:
@@ -12,8 +13,9 @@
 
     `answers` of the fleet gets (id, result, sent at, ended at, proxy, whether
     the connection had carried a request before). A result is a status,
-    "closed" for a connection that ends without a whole answer, "timeout", or
-    "foreign" for the answer to another request. `sent` of the fleet gets the
+    "closed" for a connection that ends without a whole answer, "timeout",
+    "foreign" for the answer to another request, or "malformed" for one that is
+    none of HTTP. `sent` of the fleet gets the
     proxy and the time of each request before it is sent, `answered` the time of
     its answer, if it has one.
     """
@@ -72,7 +74,7 @@
             got = await asyncio.wait_for(read_head(self.reader),
                                          self.deadline_ms / 1000)
             if got:
-                status, body = int(got[0].split(" ")[1]), b""
+                status, body = read_status(got[0]), b""
                 if has_body(method, status):
                     body = await asyncio.wait_for(
                         read_body(self.reader, got[1]), 1)
@@ -89,6 +91,9 @@
             self.drop()
         except (OSError, asyncio.IncompleteReadError):
             self.drop()
+        except MalformedHead:
+            result = "malformed"
+            self.drop()
         record(f"consumer has {request}: {result}")
         ended = time.monotonic()
         if isinstance(result, int):
--- a/tests/process/wire.py
+++ b/tests/process/wire.py
@@ -3,18 +3,25 @@
 import asyncio
 import os
 import pathlib
+import re
 import socket
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "box.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")  # RFC 9110, 5.6.2
+FINAL_STATUS = re.compile(r"HTTP/1\.[01] ([2-9]\d\d)(?: |$)")
 
 
 class CannotRun(Exception):
     """The case could not run, which says nothing about the rule."""
 
 
+class MalformedHead(Exception):
+    """A head that is none of HTTP."""
+
+
 class Record:
     """record.txt: what was sent, answered and run, with times in seconds."""
 
@@ -30,7 +37,8 @@
 
 
 async def read_head(reader):
-    """Returns (first line, headers with lower-case names), or None at the end."""
+    """Returns (first line, headers with lower-case names), or None at the end.
+    Raises MalformedHead if a name is no token."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -39,11 +47,20 @@
     headers = {}
     for line in lines[1:]:
         if line:
-            name, value = line.split(":", 1)
-            headers[name.strip().lower()] = value.strip()
+            name, colon, value = line.partition(":")
+            if not colon or not TOKEN.fullmatch(name):
+                raise MalformedHead(line)
+            headers[name.lower()] = value.strip()
     return lines[0], headers
 
 
+def read_status(line):
+    """Returns the status in the first line of a final answer."""
+    if not (found := FINAL_STATUS.match(line)):
+        raise MalformedHead(line)
+    return int(found.group(1))
+
+
 async def read_body(reader, headers):
     if headers.get("transfer-encoding", "").lower() == "chunked":
         # Joined once: adding to the body would copy a large one at each chunk.
--- a/tests/standin/load_generator.cc
+++ b/tests/standin/load_generator.cc
@@ -6,6 +6,7 @@
 
 #include "core/verdict.h"
 #include "inner/headers.h"
+#include "platform/final_status.h"
 #include "standin/caller_answer.h"
 
 namespace peridotarch::standin {
@@ -179,6 +180,10 @@
   const auto owns = [&](const std::string& tag) {
     return IsOwnAnswer(reply.body(), tag, record.path, body, done.answer_bytes);
   };
+  if (!IsFinalStatus(record.status)) {
+    record.result = load_result::kWrong;
+    return;
+  }
   if (owns(record.tag)) {
     return;
   }
