Deliver no answer whose memory is withdrawn while its end is checked

The check of how an answer without a length has ended may wait up to 200 ms. The memory budget may withdraw the answer's memory in that time and close the connection, as a cancellation does; the answer then went on uncounted. A closed connection now makes the answer broken. Found by reading; the window is not reached by a test of its own.

--- a/front/connection_pool.cc
+++ b/front/connection_pool.cc
@@ -98,7 +98,8 @@
     std::chrono::steady_clock::time_point deadline) {
   const auto until = std::min(
       deadline, std::chrono::steady_clock::now() + ToChrono(kResetWait));
-  for (;;) {
+  // A cancellation, or a lack of memory, closes the connection.
+  while (connection.stream.socket().is_open()) {
     const int socket = connection.stream.socket().native_handle();
     const bool is_sent = connection.sending == request_sending::kDone;
     if (is_sent && !HasUnacknowledgedBytes(socket)) {
@@ -113,6 +114,7 @@
     }
     co_await Sleep(connection.stream.get_executor(), kResetCheckInterval);
   }
+  co_return false;
 }
 
 }  // namespace
