--- a/tests/proxy/upstream_answer_test.cc
+++ b/tests/proxy/upstream_answer_test.cc
@@ -90,6 +90,24 @@
   }
 }
 
+TEST_CASE("an upstream's answer that ends early is never whole") {
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& whole :
+       {start + "Content-Length: 4\r\n\r\nbody",
+        start + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+    for (const auto then : {after_answer::kReset, after_answer::kClose}) {
+      for (size_t length = 0; length < whole.size(); ++length) {
+        INFO("cut after " << length << " bytes of " << whole);
+        const attempt_result result = SendTo({whole.substr(0, length), then});
+        CHECK(result.end.ended != attempt_end_cause::kAnswered);
+        CHECK(JudgeAttempt(result.end) == verdict::kMayHaveRun);
+      }
+    }
+    CHECK(SendTo({whole, after_answer::kClose}).end.ended ==
+          attempt_end_cause::kAnswered);
+  }
+}
+
 TEST_CASE("an upstream that answers and resets while the request is written") {
   for (const auto then : {after_answer::kReset, after_answer::kClose,
                           after_answer::kHalfCloseReset}) {
