Test of long paths: compared with other paths of the same length

The time goes into the scan for the end of the path, which the sanitizer slows for any path: with letters in place of slashes it takes as long (218 to 250 ms). The bound measured the instrumented scan, not the slashes.

The case now allows 200 ms as before or twice the time of paths without slashes, whichever is longer. No functional change.

--- a/tests/balance/route_index_test.cc
+++ b/tests/balance/route_index_test.cc
@@ -1,6 +1,8 @@
 #include "balance/route_index.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <string>
 
 #include "core/random.h"
 
@@ -33,17 +35,24 @@
   return route == nullptr ? "" : route->name;
 }
 
-// Each slash cost a copy of the path before it, 17 ms for such a path.
+// Each slash cost a copy of the path before it, 17 ms for such a path. A
+// sanitizer slows the search for the end of any path.
 TEST_CASE("a path of many slashes is looked up as fast as any other") {
   const route_index index = MakeIndex();
   constexpr int kLookups = 200;
-  const std::string slashes(15 << 10, '/');
-  const millis started_at = steady_clock::Now();
-  for (int i = 0; i < kLookups; ++i) {
-    CHECK(FindName(index, "a.example", slashes) == "root");
-    CHECK(FindName(index, "a.example", "/box/new/" + slashes) == "deep");
-  }
-  CHECK(steady_clock::Now() - started_at < millis(kLookups));
+  const auto time_lookups = [&index](char filling) {
+    const std::string path = '/' + std::string(15 << 10, filling);
+    const millis started_at = steady_clock::Now();
+    for (int i = 0; i < kLookups; ++i) {
+      CHECK(FindName(index, "a.example", path) == "root");
+      CHECK(FindName(index, "a.example", "/box/new" + path) == "deep");
+    }
+    return steady_clock::Now() - started_at;
+  };
+  const millis plain_time = time_lookups('a');
+  const millis slashes_time = time_lookups('/');
+  INFO(slashes_time.count() << " ms, others " << plain_time.count() << " ms");
+  CHECK(slashes_time < std::max(millis(kLookups), plain_time + plain_time));
 }
 
 TEST_CASE("the route with the longest matching prefix of the host is found") {
